Let the entry speak another dialect, and serve pipelined requests at the same time

Cause: the entry had the names of its own fields built in, so no other callers and targets could use it. Requests without a body that a caller pipelined waited for each other although Node orders the answers.

Change: field names, the judgement of answers and the form of refusals are a dialect, passed to the entry; the own one stays the default. A part of an answer can be read before it is sent on, so that one that breaks off is replaced by a refusal or a retry. The first request that reaches a target takes no retry token. Routes may limit the targets of one request.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -30,7 +30,7 @@
 }
 
 /** Admission with what the entry, the daemon and the operators need besides `acquire`. */
-export interface AdmissionControl extends Admission, Demand {
+export interface AdmissionControl extends Admission<SlotRequest>, Demand {
   /** Median time to the answer's headers in ms; undefined while there are too few recent answers. */
   readonly medianLatencyMs: (service: string, className: string, now: number) => number | undefined
   /** Refuses requests that waited too long and passes on slots that became free through a new share. */
@@ -137,7 +137,7 @@
   const withdraw = (state: ServiceState, entry: WaitingRequest): void => {
     if (!state.list.remove(entry)) entry.granted?.release(undefined, clock())
   }
-  const acquire: Admission['acquire'] = (wanted, now) => Effect.callback<Slot, Refusal>(resume => {
+  const acquire: Admission<SlotRequest>['acquire'] = (wanted, now) => Effect.callback<Slot, Refusal>(resume => {
     followRevision()
     const resolved = resolve(currentServices(), wanted)
     if ('kind' in resolved) return resume(Effect.fail(resolved))
--- a/src/daemon/usage.ts
+++ b/src/daemon/usage.ts
@@ -1,14 +1,14 @@
 /** How requests use the configuration, also while the outcome of an announced note is not known. */
 import { err, type Result } from 'neverthrow'
 import { refusal, type Refusal } from '../errors/index.js'
-import type { Configuration, ResolvedRoute } from '../model/index.js'
+import type { Configuration, ResolvedRoute, Service } from '../model/index.js'
 import { createRouteTable, type RouteTable } from '../routing/index.js'
 import type { Replica, Usable } from '../spread/index.js'
 
 /** The configuration as requests see it. */
 export interface Usage {
   /** Resolves a request; `configuration-stale` when the possible configurations may resolve it differently. */
-  readonly find: (host: string, url: string, method: string, now: number) => Result<ResolvedRoute, Refusal>
+  readonly find: (host: string, url: string, method: string, now: number) => Result<ResolvedRoute<Service>, Refusal>
   /** The refusal of a service whose settings may have changed. */
   readonly withheld: (service: string, now: number) => Refusal | undefined
   /**
--- a/src/entry/answer.ts
+++ b/src/entry/answer.ts
@@ -1,15 +1,17 @@
 /** Sends answers to callers: refusals, JSON, recorded answers and answers of targets. */
 import type { IncomingMessage } from 'node:http'
 import { Effect } from 'effect'
-import { answerTo, type Refusal } from '../errors/index.js'
+import type { Refusal } from '../errors/index.js'
 import type { RecordedAnswer } from '../model/index.js'
+import type { Collected } from './collect.js'
+import type { Dialect } from './dialect.js'
 import type { Exchange } from './exchange.js'
 import { fromRecord, REPLAYED, REQUEST_ID, trailerPairs } from './headers.js'
 
 /** How the answers of a connection are sent. */
 export interface Delivery {
-  /** Whether the connection closes after the answer. */
-  readonly isClosing: () => boolean
+  /** Whether the connection closes after the answer of this exchange. */
+  readonly isClosing: (exchange: Exchange) => boolean
 }
 
 /** A body up to this size is read after a refusal, so that the connection can be kept. */
@@ -74,7 +76,7 @@
 const sendWhole = Effect.fnUntraced(function * (exchange: Exchange, delivery: Delivery, answer: WholeAnswer) {
   const { response, incoming } = exchange
   const canKeep = !answer.close && (incoming.complete || isBodyShort(exchange))
-  const closes = !canKeep || delivery.isClosing()
+  const closes = !canKeep || delivery.isClosing(exchange)
   response.writeHead(answer.status, [...answer.headers, ...(closes ? ['Connection', 'close'] : [])])
   response.write(answer.body)
   exchange.setAwaited(() => 'caller')
@@ -90,9 +92,9 @@
 })
 
 /** Answers with a refusal, or destroys the connection when an answer was started. */
-export function sendRefusal (exchange: Exchange, delivery: Delivery, refused: Refusal): Effect.Effect<void> {
+export function sendRefusal (exchange: Exchange, dialect: Dialect, delivery: Delivery, refused: Refusal): Effect.Effect<void> {
   if (exchange.response.headersSent) return Effect.sync(() => { exchange.incoming.socket.destroy() })
-  const { status, headers, body, close } = answerTo(refused, exchange.id)
+  const { status, headers, body, close } = dialect.answerRefusal(refused, exchange.id)
   const { connection, ...others } = headers
   return sendWhole(exchange, delivery, { status, headers: fromRecord(others), body, close: close || connection !== undefined })
 }
@@ -131,6 +133,8 @@
 export interface Relay {
   readonly status: number
   readonly headers: readonly string[]
+  /** What was read of the body already. */
+  readonly collected: Collected
   /** Sees each part of the body. */
   readonly onChunk: ((chunk: Buffer) => void) | undefined
   /** Called as soon as the target sent the whole answer, before the caller received it. */
@@ -160,9 +164,11 @@
 ): Effect.Effect<boolean> {
   const { response } = exchange
   return Effect.callback<boolean>(resume => {
-    const closing = delivery.isClosing() ? ['Connection', 'close'] : []
+    const closing = delivery.isClosing(exchange) ? ['Connection', 'close'] : []
     response.writeHead(relay.status, answer.statusMessage ?? '', [...fitFraming(exchange, answer, relay.headers), ...closing])
     exchange.setAwaited(() => response.writableNeedDrain ? 'caller' : 'target')
+    // A target that pauses after the head does not hold it back; without a pause, head and body leave in one write.
+    const flush = setImmediate(() => response.flushHeaders())
     const cleanUp = (): void => {
       clearImmediate(flush)
       answer.unpipe(response)
@@ -184,10 +190,13 @@
       resume(awaitSent(exchange).pipe(Effect.as(true)))
     }
     answer.on('end', onEnd).on('close', onEarlyEnd).on('error', onEarlyEnd)
+    for (const chunk of relay.collected.chunks) {
+      relay.onChunk?.(chunk)
+      response.write(chunk)
+    }
+    if (relay.collected.isWhole) return onEnd()
     if (relay.onChunk !== undefined) answer.on('data', relay.onChunk)
     answer.pipe(response, { end: false })
-    // A target that pauses after the head does not hold it back; without a pause, head and body leave in one write.
-    const flush = setImmediate(() => response.flushHeaders())
     return Effect.sync(cleanUp)
   }).pipe(
     // An early answer leaves a body behind that the next request on the connection comes after.
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -5,7 +5,9 @@
 import type { Result, Slot } from '../model/index.js'
 import type { Body } from './body.js'
 import type { Exchange } from './exchange.js'
-import { DEADLINE_MS, forwardedFields, REQUEST_ID, RUN, STATE, tokensOf, valuesOf } from './headers.js'
+import { collect, NOTHING_COLLECTED, type Collected, type CollectFailure } from './collect.js'
+import type { Dialect, ForwardedRequest, Judgement } from './dialect.js'
+import { endToEnd, tokensOf } from './headers.js'
 import type { Connection, NoConnection, Pools } from './pool.js'
 import type { ParsedRequest } from './request.js'
 import { send, type Answered } from './send.js'
@@ -17,8 +19,10 @@
   readonly detail: string
   /** Whether the attempt lasted until the deadline. */
   readonly isLate: boolean
-  /** The answer, whose body is still to come. */
+  /** The answer that may be delivered. */
   readonly answer: IncomingMessage | undefined
+  /** What was read of the answer's body; the rest is still to come. */
+  readonly collected: Collected
 }
 
 /** What all attempts of one request share. */
@@ -38,6 +42,9 @@
   /** Runs once there is a connection, before the first byte is sent. */
   readonly prepare: Effect.Effect<void, Refusal>
   readonly pools: Pools
+  readonly dialect: Dialect
+  /** Part of an answer's body that is read before the answer is sent on, in bytes; 0 sends it on at once. */
+  readonly collectBytes: number
   readonly clock: () => number
 }
 
@@ -58,27 +65,19 @@
 /** A target that sends such an answer slowly loses its connection, in ms. */
 const DISCARD_LIMIT_MS = 1000
 
-/** A target that sheds states that it did not run the request. */
-function saysNotRun (answer: IncomingMessage): boolean {
-  return answer.statusCode === 503 && valuesOf(answer.rawHeaders, RUN).join() === 'not-run'
-}
-
-/** What the head of an answer says. */
-function judge (answer: IncomingMessage): Outcome {
-  const isNotRun = saysNotRun(answer)
-  const run = isNotRun ? 'not-run' : 'ran'
-  const isDraining = tokensOf(answer.rawHeaders, STATE).includes('draining')
-  const isFailure = (answer.statusCode ?? 0) >= 500
-  const result = isDraining ? 'draining' : isNotRun ? 'shed' : isFailure ? 'failed' : 'answered'
-  return { result, run, detail: `the target answered ${answer.statusCode}`, isLate: false, answer }
+/** The outcome of an attempt without an answer that may be delivered. */
+function withoutAnswer (result: Outcome['result'], run: RunState, detail: string, isLate = false): Outcome {
+  return { result, run, detail, isLate, answer: undefined, collected: NOTHING_COLLECTED }
 }
 
 /** For all other methods, Node announces a chunked body unless a length is given. */
 const BODILESS_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS', 'TRACE'])
 
 /** Fields of the request to the target. */
-function fieldsFor ({ request }: Attempted, requestId: string, remainingMs: number): string[] {
-  const fields = ['Host', request.authority, ...forwardedFields(request.headers)]
+function fieldsFor ({ request, dialect }: Attempted, forwarded: ForwardedRequest): string[] {
+  // The entry answers an expectation itself, and it sets the host.
+  const replaced = new Set(['expect', 'host', ...dialect.replacedInRequest])
+  const fields = ['Host', request.authority, ...endToEnd(request.headers, replaced)]
   const isChunked = request.hasBody && request.contentLength === undefined
   if (isChunked) fields.push('Transfer-Encoding', 'chunked')
   const needsLength = !isChunked && request.contentLength === undefined && !BODILESS_METHODS.has(request.method)
@@ -86,7 +85,7 @@
   const takesTrailers = tokensOf(request.headers, 'te').includes('trailers')
   if (takesTrailers) fields.push('TE', 'trailers')
   fields.push('Connection', takesTrailers ? 'keep-alive, TE' : 'keep-alive')
-  fields.push(REQUEST_ID, requestId, DEADLINE_MS, String(Math.max(1, Math.floor(remainingMs))))
+  fields.push(...dialect.requestFields(forwarded))
   return fields
 }
 
@@ -124,8 +123,7 @@
   const opened = yield * Effect.result(connect)
   if (opened._tag === 'Failure') {
     const { kind, detail } = opened.failure
-    const outcome: Outcome = { result: kind, run: 'not-run', detail, isLate: false, answer: undefined }
-    return outcome
+    return withoutAnswer(kind, 'not-run', detail)
   }
   yield * prepare
   const outcome = yield * exchangeWith(opened.success)
@@ -151,6 +149,30 @@
     deadlineAt: shared.deadlineAt
   }, clock()))).pipe(Effect.tap(opened => Effect.sync(() => { connection = opened }))))
 
+  const takeBody = (answer: IncomingMessage, { result, run, detail }: Judgement): Effect.Effect<Outcome> => {
+    const limitMs = shared.deadlineAt - clock()
+    return collect(answer, shared.collectBytes, limitMs).pipe(Effect.match({
+      onSuccess: collected => ({ result, run, detail, isLate: false, answer, collected }),
+      onFailure: (failure: CollectFailure) => {
+        answered = undefined
+        return failure === 'late'
+          ? withoutAnswer('timeout', run, 'the answer did not end before the deadline', true)
+          : withoutAnswer('truncated', run, 'the answer broke off')
+      }
+    }))
+  }
+
+  const takeHead = (head: Answered): Effect.Effect<Outcome> => Effect.suspend(() => {
+    headAt = clock()
+    const judged = shared.dialect.judge(head.answer, exchange.id)
+    const { result, run, detail } = judged
+    // The connection of an answer to another request is out of step and is not used again.
+    if (judged.isMatched) answered = head
+    if (!judged.isDeliverable) return Effect.succeed(withoutAnswer(result, run, detail))
+    if (shared.collectBytes > 0) return takeBody(head.answer, judged)
+    return Effect.succeed({ result, run, detail, isLate: false, answer: head.answer, collected: NOTHING_COLLECTED })
+  })
+
   const exchangeWith = (opened: Connection): Effect.Effect<Outcome> => Effect.suspend(() => {
     sentAt = clock()
     const remainingMs = shared.deadlineAt - sentAt
@@ -158,7 +180,7 @@
     return send(opened, {
       method: shared.request.method,
       path: shared.request.pathAndQuery,
-      headers: fieldsFor(shared, exchange.id, remainingMs),
+      headers: fieldsFor(shared, { requestId: exchange.id, target: slot.target, remainingMs: Math.max(1, Math.floor(remainingMs)) }),
       sendBody: outgoing => {
         exchange.setAwaited(() => shared.body.isStreaming() && !outgoing.writableNeedDrain ? 'caller' : undefined)
         shared.body.sendTo(outgoing)
@@ -167,15 +189,11 @@
       limitMs: Math.max(0, remainingMs),
       stallMs: shared.stallMs(sentAt),
       mayGiveUp: () => shared.mayGiveUp(slot.target.id)
-    }).pipe(Effect.match({
-      onSuccess: head => {
-        headAt = clock()
-        answered = head
-        return judge(head.answer)
-      },
-      onFailure: ({ result, wasSent, detail, isLate }): Outcome => wasSent
-        ? { result, run: 'may-have-run', detail, isLate, answer: undefined }
-        : { result: 'unreachable', run: 'not-run', detail, isLate, answer: undefined }
+    }).pipe(Effect.matchEffect({
+      onSuccess: takeHead,
+      onFailure: ({ result, wasSent, detail, isLate }) => Effect.succeed(wasSent
+        ? withoutAnswer(result, 'may-have-run', detail, isLate)
+        : withoutAnswer('unreachable', 'not-run', detail, isLate))
     }))
   })
 
--- /dev/null
+++ b/src/entry/collect.ts
@@ -0,0 +1,51 @@
+/** Reads the first part of a target's answer, so that an answer that breaks off early can be replaced. */
+import type { IncomingMessage } from 'node:http'
+import { Effect } from 'effect'
+
+/** What was read of an answer's body. */
+export interface Collected {
+  readonly chunks: readonly Buffer[]
+  /** Whether this is the whole body; otherwise the answer is paused behind the chunks. */
+  readonly isWhole: boolean
+}
+
+/** Why the first part could not be read. */
+export type CollectFailure = 'truncated' | 'late'
+
+/** Nothing is read ahead. */
+export const NOTHING_COLLECTED: Collected = { chunks: [], isWhole: false }
+
+/**
+ * Reads a body up to `limitBytes`.
+ *
+ * @param limitMs time for it, in ms
+ */
+export function collect (answer: IncomingMessage, limitBytes: number, limitMs: number): Effect.Effect<Collected, CollectFailure> {
+  return Effect.callback(resume => {
+    const chunks: Buffer[] = []
+    let bytes = 0
+    const cleanUp = (): void => {
+      clearTimeout(timeout)
+      answer.off('data', keep).off('end', finish).off('close', breakOff).off('error', breakOff)
+    }
+    const end = (outcome: Effect.Effect<Collected, CollectFailure>): void => {
+      cleanUp()
+      resume(outcome)
+    }
+    const breakOff = (): void => end(Effect.fail('truncated'))
+    const finish = (): void => {
+      if (answer.complete) end(Effect.succeed({ chunks, isWhole: true }))
+      else breakOff()
+    }
+    const keep = (chunk: Buffer): void => {
+      chunks.push(chunk)
+      bytes += chunk.byteLength
+      if (bytes <= limitBytes) return
+      answer.pause()
+      end(Effect.succeed({ chunks, isWhole: false }))
+    }
+    const timeout = setTimeout(() => end(Effect.fail('late')), Math.ceil(Math.max(0, limitMs)))
+    answer.on('data', keep).on('end', finish).on('close', breakOff).on('error', breakOff)
+    return Effect.sync(cleanUp)
+  })
+}
--- a/src/entry/connection.ts
+++ b/src/entry/connection.ts
@@ -3,6 +3,7 @@
 import { Cause, Effect, Exit, Fiber, Queue } from 'effect'
 import { refusal, type Kind, type Refusal } from '../errors/index.js'
 import { sendRefusal } from './answer.js'
+import type { Dialect } from './dialect.js'
 import type { Exchange } from './exchange.js'
 import { handleRequest, type Handling } from './handle.js'
 import type { Ending, EntryOptions, Limits } from './options.js'
@@ -30,6 +31,14 @@
 /** Time for the answer to an aborted request, in ms. Longer than a refusal lingers. */
 const ABORT_LIMIT_MS = 2000
 
+/** When a request last made progress. */
+interface Progress {
+  /** Bytes that the connection had carried at that time. */
+  readonly marker: number
+  readonly at: number
+  readonly abortedAt: number | undefined
+}
+
 /** Outcome of an exchange, for the metrics. */
 interface Finished {
   readonly ending: Ending
@@ -71,12 +80,12 @@
 
 /** Serves one request; its failures become a refusal or a destroyed connection. */
 function serve (handling: Handling, exchange: Exchange): Effect.Effect<void> {
-  const { options, delivery } = handling
+  const { options, dialect, delivery } = handling
   let finished: Finished = { ending: 'cancelled', refused: undefined }
   const refuse = (refused: Refusal): Effect.Effect<void> => Effect.suspend(() => {
     const stated = withRun(exchange, refused)
     finished = { ending: exchange.response.headersSent ? 'truncated' : 'refused', refused: stated }
-    return sendRefusal(exchange, delivery, stated)
+    return sendRefusal(exchange, dialect, delivery, stated)
   })
   const onDefect = (defect: unknown): Effect.Effect<void> => {
     options.log.error('request.defect', { requestId: exchange.id, detail: String(defect) })
@@ -120,34 +129,54 @@
   }
 }
 
-/** Serves the requests of one connection in the order of their arrival. */
+/** Whether a request may be served while earlier ones of its connection are: it has no body to wait for. */
+function hasNoBody ({ incoming }: Exchange): boolean {
+  const { 'content-length': length = '0', 'transfer-encoding': encoding } = incoming.headers
+  return length === '0' && encoding === undefined
+}
+
+/**
+ * Serves the requests of one connection. Node sends the answers in the order of the requests, so
+ * pipelined requests without a body run at the same time; one with a body waits for those before it.
+ */
 const serveAll = Effect.fnUntraced(function * (
   queue: Queue.Queue<Exchange>,
   serveNext: (exchange: Exchange) => Effect.Effect<void>
 ) {
-  for (;;) yield * serveNext(yield * Queue.take(queue))
+  let running: Array<Fiber.Fiber<void>> = []
+  for (;;) {
+    const exchange = yield * Queue.take(queue)
+    if (hasNoBody(exchange)) {
+      running = running.filter(fiber => fiber.pollUnsafe() === undefined)
+      running.push(yield * Effect.forkChild(serveNext(exchange)))
+      continue
+    }
+    yield * Fiber.awaitAll(running)
+    yield * serveNext(exchange)
+  }
 })
 
 /** What the connections of all callers share. */
 export interface Shared {
   readonly options: EntryOptions
+  readonly dialect: Dialect
   readonly pools: Pools
   readonly isStopping: () => boolean
 }
 
 /** Creates the connection and starts its fiber, which ends with the connection. */
 export function createCallerConnection (shared: Shared, socket: Socket, onClose: () => void): CallerConnection {
-  const { options, pools, isStopping } = shared
+  const { options, dialect, pools, isStopping } = shared
   const { limits, clock } = options
   const queue = Effect.runSync(Queue.unbounded<Exchange>())
   const idle = createIdleWatch(socket, limits, clock())
   let waiting = 0
-  let current: Exchange | undefined
+  let last: Exchange | undefined
   let failure: Refusal | undefined
-  let progress = { marker: 0, at: clock() }
-  let abortedAt: number | undefined
+  const active = new Map<Exchange, Progress>()
   // A pipelined request that has arrived is answered too, so only the last answer closes the connection.
-  const handling: Handling = { options, pools, delivery: { isClosing: () => isStopping() && waiting <= 1 } }
+  const isClosing = (exchange: Exchange): boolean => isStopping() && exchange === last
+  const handling: Handling = { options, dialect, pools, delivery: { isClosing } }
   let bytesAtLastLook = -1
 
   const refuse = (refused: Refusal): void => {
@@ -155,19 +184,17 @@
     refuseRaw(socket, refused)
   }
 
-  const finishExchange = (): void => {
-    current = undefined
+  const finishExchange = (exchange: Exchange): void => {
+    active.delete(exchange)
     waiting--
     idle.restart(clock())
     if (waiting === 0 && failure !== undefined) refuse(failure)
   }
 
   const serveNext = (exchange: Exchange): Effect.Effect<void> => Effect.suspend(() => {
-    current = exchange
-    progress = { marker: -1, at: clock() }
-    abortedAt = undefined
+    active.set(exchange, { marker: -1, at: clock(), abortedAt: undefined })
     if (failure !== undefined && !exchange.incoming.complete) exchange.abort(failure, 'caller')
-    return serve(handling, exchange).pipe(Effect.tap(() => Effect.sync(finishExchange)))
+    return serve(handling, exchange).pipe(Effect.tap(() => Effect.sync(() => finishExchange(exchange))))
   })
   const fiber = Effect.runFork(serveAll(queue, serveNext))
   fiber.addObserver(exit => {
@@ -187,15 +214,16 @@
     failure = refused
     if (waiting === 0) return refuse(refused)
     // The failure lies in the body of the current request, or in a later one whose turn comes after it.
-    if (current !== undefined && !current.incoming.complete) current.abort(refused, 'caller')
+    for (const exchange of active.keys()) if (!exchange.incoming.complete) exchange.abort(refused, 'caller')
   }
 
   const abort = (exchange: Exchange, kind: Kind, detail: string, blamed: 'caller' | 'target', now: number): void => {
-    abortedAt = now
+    active.set(exchange, { marker: -1, at: now, abortedAt: now })
     exchange.abort(refusal(kind, detail, { run: exchange.run() }), blamed)
   }
 
-  const checkExchange = (exchange: Exchange, now: number): void => {
+  const checkExchange = (exchange: Exchange, progress: Progress, now: number): void => {
+    const { abortedAt } = progress
     if (abortedAt !== undefined) {
       // The answer itself makes no progress: the caller neither reads it nor ends its request.
       if (now - abortedAt >= ABORT_LIMIT_MS) socket.destroy()
@@ -207,7 +235,7 @@
     const awaited = exchange.awaited()
     const marker = socket.bytesRead + socket.bytesWritten
     if (awaited === undefined || marker !== progress.marker) {
-      progress = { marker, at: now }
+      active.set(exchange, { marker, at: now, abortedAt })
       return
     }
     if (now - progress.at < limits.idleTimeMs) return
@@ -222,11 +250,12 @@
       if (failure !== undefined) return
       if (waiting >= PIPELINED_MAX) return fail(refusal('bad-request', `more than ${PIPELINED_MAX} pipelined requests`))
       waiting++
+      last = exchange
       Queue.offerUnsafe(queue, exchange)
     },
     fail,
     check: now => {
-      if (current !== undefined) return checkExchange(current, now)
+      for (const [exchange, progress] of [...active]) checkExchange(exchange, progress, now)
       if (waiting > 0 || failure !== undefined) return
       const verdict = idle.verdict(now)
       if (verdict === 'idle') socket.destroySoon()
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -1,12 +1,12 @@
 /** The callers' listener: accepts connections, enforces limits, stops gracefully. */
 import { createServer as createHttpServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import { createServer as createNetServer, type AddressInfo, type Socket } from 'node:net'
-import { randomUUID } from 'node:crypto'
 import { Effect, Fiber } from 'effect'
 import { refusal } from '../errors/index.js'
 import type { Endpoint } from '../model/index.js'
 import { createCallerConnection, type CallerConnection } from './connection.js'
 import { createExchange } from './exchange.js'
+import { ownDialect } from './own-dialect.js'
 import { isCallerGone, isHarmlessParseError, refuseParseError } from './framing.js'
 import type { EntryOptions } from './options.js'
 import { createPools } from './pool.js'
@@ -71,14 +71,14 @@
  * yield* entry.stop(clock())
  */
 export function createEntry (options: EntryOptions): Entry {
-  const { limits, clock, log } = options
+  const { limits, clock, log, dialect = ownDialect } = options
   const connections = new Map<Socket, CallerConnection>()
   const pools = createPools(options)
   let isStopping = false
   let accepted = 0
   let checks: Fiber.Fiber<unknown> | undefined
 
-  const shared = { options, pools, isStopping: () => isStopping }
+  const shared = { options, dialect, pools, isStopping: () => isStopping }
 
   // The HTTP server gets its connections from the listener below: its own `close`
   // would destroy idle connections whose next request has already arrived.
@@ -98,7 +98,9 @@
     // The end of a caller's connection is handled by its fiber.
     incoming.on('error', () => {})
     response.on('error', () => {})
-    connections.get(incoming.socket)?.accept(createExchange(randomUUID(), incoming, response, expectsContinue, clock()))
+    const id = dialect.requestId(incoming.rawHeaders)
+    const exchange = createExchange(id, dialect.caller(incoming), incoming, response, expectsContinue, clock())
+    connections.get(incoming.socket)?.accept(exchange)
   }
   http.on('request', accept(false))
   http.on('checkContinue', accept(true))
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -2,7 +2,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Refusal, RunState } from '../errors/index.js'
 import type { ResolvedRoute } from '../model/index.js'
-import { callerKeyOf } from './request.js'
 
 /** Whose bytes an exchange waits for; undefined while it waits inside the VM or for its deadline. */
 export type AwaitedParty = 'caller' | 'target' | undefined
@@ -48,6 +47,7 @@
 /** Creates the record of a request whose head arrived at `now`. */
 export function createExchange (
   id: string,
+  callerKey: string,
   incoming: IncomingMessage,
   response: ServerResponse,
   expectsContinue: boolean,
@@ -66,7 +66,7 @@
     id,
     incoming,
     response,
-    callerKey: callerKeyOf(incoming),
+    callerKey,
     arrivedAt: now,
     isContinueDue: () => isContinueDue,
     sendContinue: () => {
--- a/src/entry/forward.ts
+++ b/src/entry/forward.ts
@@ -5,7 +5,8 @@
 import type { Result, Slot } from '../model/index.js'
 import { beginAttempt, type Attempt, type Attempted, type Outcome } from './attempt.js'
 import { hasTime, type Checks, type Routed } from './checks.js'
-import type { EntryOptions } from './options.js'
+import { REUSE_WITHIN_MS, type EntryOptions } from './options.js'
+import { ownDialect } from './own-dialect.js'
 import type { Pools } from './pool.js'
 
 /** A routed request on its way to the targets. */
@@ -16,8 +17,6 @@
   readonly deliver: (answer: IncomingMessage, outcome: Outcome, onWhole: () => void) => Effect.Effect<boolean>
 }
 
-/** A target may close a connection that is idle for longer, just when a request is sent. */
-const RECENT_EXCHANGE_MS = 1000
 /** A reused connection is given up after this multiple of the usual latency. */
 const STALL_LATENCY_FACTOR = 8
 /** A pause of a target, for example to collect garbage, is no reason to give up a connection. */
@@ -34,7 +33,7 @@
 
 /** The kind of error that a failed attempt means for the caller. */
 function kindOf ({ result, answer, isLate }: Outcome): Kind {
-  if (result === 'exhausted') return 'overloaded'
+  if (result === 'exhausted' || result === 'shed' || result === 'misdirected') return 'overloaded'
   if (result === 'unreachable') return 'target-unreachable'
   if (answer !== undefined) return 'overloaded'
   return isLate ? 'deadline-exceeded' : 'target-failed'
@@ -60,12 +59,14 @@
 
 function createForwarding (options: EntryOptions, pools: Pools, plan: Plan): Forwarding {
   const { exchange, route, body, deadlineAt, checks } = plan
-  const { clock } = options
+  const { clock, reuseWithinMs = REUSE_WITHIN_MS, collectBytes = 0 } = options
   const service = route.service.name
   const triedTargets = new Set<string>()
   const triedPlaces = new Set<string>()
   let current: Attempt | undefined
   let hasToken = false
+  /** Attempts whose request was sent. */
+  let sent = 0
 
   const takeToken = (): boolean => {
     hasToken ||= options.takeRetry(service, clock())
@@ -75,7 +76,7 @@
   /** Oldest end of the last exchange of a suitable connection; a retry takes a new one. */
   const idleSince = (now: number): number => {
     if (exchange.attempts() > 1) return Infinity
-    return route.class.idempotent ? -Infinity : now - RECENT_EXCHANGE_MS
+    return route.class.idempotent ? -Infinity : now - reuseWithinMs
   }
 
   const attempted: Attempted = {
@@ -88,6 +89,8 @@
     prepare: checks.pass,
     fingerprint: checks.fingerprint,
     pools,
+    dialect: options.dialect ?? ownDialect,
+    collectBytes,
     clock
   }
 
@@ -96,6 +99,10 @@
     class: route.class.name,
     caller: exchange.callerKey,
     deadlineAt,
+    requestId: exchange.id,
+    idempotent: route.class.idempotent,
+    priority: route.class.priority,
+    objectiveAt: exchange.arrivedAt + (route.class.objectiveMs ?? route.class.deadlineMs),
     avoid: triedTargets,
     avoidPlaces: triedPlaces
   }, clock()))
@@ -116,10 +123,13 @@
 
   const isRetryAllowed = ({ result, run, isLate }: Outcome): boolean => {
     if (result === 'answered' || result === 'exhausted' || isLate) return false
+    if (sent >= (route.class.maxAttempts ?? Infinity)) return false
     // The answer of a draining target is a regular answer.
     if (result === 'draining' && run !== 'not-run') return false
     const isRepeatable = route.class.idempotent || run === 'not-run'
-    return isRepeatable && body.isReplayable() && hasTime(options, route, deadlineAt, clock()) && takeToken()
+    if (!isRepeatable || !body.isReplayable() || !hasTime(options, route, deadlineAt, clock())) return false
+    // The first request that reaches a target is no retry, whatever was tried before.
+    return sent === 0 || takeToken()
   }
 
   /** Goes on at another target, if there is one and time to use it. */
@@ -135,6 +145,7 @@
   }
 
   const retry = (outcome: Outcome): Effect.Effect<boolean> => {
+    if (outcome.result !== 'unreachable' && outcome.result !== 'exhausted') sent++
     // Without an answer that could still be delivered, the slot is returned before the wait for another.
     if (outcome.answer === undefined) current?.drop(resultOf(outcome))
     if (!isRetryAllowed(outcome)) return Effect.succeed(false)
--- a/src/entry/handle.ts
+++ b/src/entry/handle.ts
@@ -10,9 +10,10 @@
 import type { Outcome as AttemptOutcome } from './attempt.js'
 import { createBody } from './body.js'
 import { checkTime, createChecks, REPLAY, type Checks, type Routed } from './checks.js'
+import type { Dialect } from './dialect.js'
 import type { Exchange } from './exchange.js'
 import { forward } from './forward.js'
-import { answeredFields, REQUEST_ID, RUN, toRecord } from './headers.js'
+import { endToEnd, toRecord } from './headers.js'
 import type { EntryOptions, Ending } from './options.js'
 import type { Pools } from './pool.js'
 import { parseRequest, type ParsedRequest } from './request.js'
@@ -23,6 +24,7 @@
 /** What the ways of all requests share. */
 export interface Handling {
   readonly options: EntryOptions
+  readonly dialect: Dialect
   readonly pools: Pools
   readonly delivery: Delivery
 }
@@ -38,16 +40,18 @@
 /** Answers a request for a path of the VM itself. */
 const answerOwn = Effect.fnUntraced(function * ({ options, delivery }: Handling, exchange: Exchange, request: ParsedRequest) {
   if (request.path !== ADDRESSES_PATH) return yield * Effect.fail(refusal('not-found', `no resource ${request.path}`))
+  const { answerAddresses } = options
+  if (answerAddresses === undefined) return yield * Effect.fail(refusal('not-found', 'this VM gives no addresses here'))
   if (request.method !== 'GET') return yield * Effect.fail(refusal('method-not-allowed', `${request.method} ${request.path}`))
   const query = new URLSearchParams(request.pathAndQuery.slice(request.path.length))
   const address = exchange.incoming.socket.remoteAddress ?? ''
-  const answer = yield * fromOutcome(options.answerAddresses(query, address, options.clock()))
+  const answer = yield * fromOutcome(answerAddresses(query, address, options.clock()))
   yield * sendJson(exchange, delivery, answer)
   return 'answered' as const
 })
 
 /** Collects the body of an answer that a claim records. */
-function createRecorder (answer: IncomingMessage): { readonly onChunk: (chunk: Buffer) => void, readonly recorded: () => RecordedAnswer } {
+function createRecorder (answer: IncomingMessage, replaced: ReadonlySet<string>): { readonly onChunk: (chunk: Buffer) => void, readonly recorded: () => RecordedAnswer } {
   const chunks: Buffer[] = []
   let bytes = 0
   return {
@@ -58,7 +62,7 @@
     },
     recorded: () => ({
       status: answer.statusCode ?? 0,
-      headers: toRecord(answeredFields(answer.rawHeaders)),
+      headers: toRecord(endToEnd(answer.rawHeaders, replaced)),
       body: bytes <= RECORDED_BODY_LIMIT_BYTES ? Buffer.concat(chunks) : undefined
     })
   }
@@ -66,7 +70,7 @@
 
 /** Sends a target's answer to the caller and records it for the claim. */
 function deliver (
-  { options, delivery }: Handling,
+  { options, dialect, delivery }: Handling,
   exchange: Exchange,
   checks: Checks,
   answer: IncomingMessage,
@@ -74,11 +78,13 @@
   onWhole: () => void
 ): Effect.Effect<boolean> {
   const claim = checks.claim()
-  const recorder = claim !== undefined && outcome.run === 'ran' ? createRecorder(answer) : undefined
-  const run = outcome.run === 'not-run' ? [RUN, exchange.run()] : []
+  const recorder = claim !== undefined && outcome.run === 'ran' ? createRecorder(answer, dialect.replacedInAnswer) : undefined
+  const ownFields = dialect.answerFields({ requestId: exchange.id, attempt: outcome.run, request: exchange.run() })
+  const fields = [...endToEnd(answer.rawHeaders, dialect.replacedInAnswer), ...ownFields]
   return relayAnswer(exchange, delivery, answer, {
     status: answer.statusCode ?? 0,
-    headers: [...answeredFields(answer.rawHeaders), REQUEST_ID, exchange.id, ...run],
+    headers: fields,
+    collected: outcome.collected,
     onChunk: recorder?.onChunk,
     onWhole: () => {
       onWhole()
@@ -128,10 +134,10 @@
  */
 export const handleRequest: (handling: Handling, exchange: Exchange) => Effect.Effect<Ending, Refusal> =
   Effect.fnUntraced(function * (handling: Handling, exchange: Exchange) {
-    const { options } = handling
+    const { options, dialect } = handling
     const { bodyBytes } = options.limits
-    const request = yield * fromOutcome(parseRequest(exchange.incoming, bodyBytes))
-    if (request.path.startsWith(OWN_PREFIX)) return yield * answerOwn(handling, exchange, request)
+    const request = yield * fromOutcome(parseRequest(exchange.incoming, bodyBytes, dialect))
+    if (options.answerAddresses !== undefined && request.path.startsWith(OWN_PREFIX)) return yield * answerOwn(handling, exchange, request)
     const route = yield * fromOutcome(options.resolve(request.host, request.path, request.method))
     exchange.setRoute(route)
     yield * failIf(options.serves(route.service.name, options.clock()))
--- a/src/entry/headers.ts
+++ b/src/entry/headers.ts
@@ -21,12 +21,6 @@
   'te', 'transfer-encoding', 'upgrade'
 ])
 
-/** The entry answers an expectation itself, and it sets the host, its own id and the deadline. */
-const REPLACED_IN_REQUEST: ReadonlySet<string> = new Set(['expect', 'host', DEADLINE_MS, REQUEST_ID])
-
-/** What a target says about the run state is checked and set by the entry. */
-const REPLACED_IN_ANSWER: ReadonlySet<string> = new Set(['camphorbay-kind', REPLAYED, REQUEST_ID, RUN])
-
 /** Values of a field, in the order of their arrival; `name` is in lower case. */
 export function valuesOf (raw: RawHeaders, name: string): readonly string[] {
   const values: string[] = []
@@ -65,18 +59,10 @@
   return kept
 }
 
-/** The end-to-end fields of a caller's request. */
-export function forwardedFields (raw: RawHeaders): string[] {
-  return endToEnd(raw, REPLACED_IN_REQUEST)
-}
-
-/** The end-to-end fields of a target's answer. */
-export function answeredFields (raw: RawHeaders): string[] {
-  return endToEnd(raw, REPLACED_IN_ANSWER)
-}
-
 /** Trailer fields must not change how a message is framed or routed (RFC 9110, 6.5.1). */
-const FORBIDDEN_TRAILERS: ReadonlySet<string> = new Set(['content-length', 'host', 'trailer', DEADLINE_MS, ...REPLACED_IN_ANSWER])
+const FORBIDDEN_TRAILERS: ReadonlySet<string> = new Set([
+  'content-length', 'host', 'trailer', DEADLINE_MS, 'camphorbay-kind', REPLAYED, REQUEST_ID, RUN
+])
 
 /** The end-to-end trailer fields as the pairs that Node's `addTrailers` takes. */
 export function trailerPairs (raw: RawHeaders): Array<[string, string]> {
--- a/src/entry/options.ts
+++ b/src/entry/options.ts
@@ -3,6 +3,10 @@
 import type { Kind, Refusal, RunState } from '../errors/index.js'
 import type { Log } from '../log/index.js'
 import type { Admission, Claims, Clock, ResolvedRoute } from '../model/index.js'
+import type { Dialect } from './dialect.js'
+
+/** A target may close a connection that is idle for longer, just when a request is sent, in ms. */
+export const REUSE_WITHIN_MS = 1000
 
 /** Bounds on callers. All of them are required; the settings carry the defaults. */
 export interface Limits {
@@ -67,15 +71,25 @@
   readonly takeRetry: (service: string, now: number) => boolean
   /** Records a first attempt, which earns a part of a token. */
   readonly earnRetry: (service: string, now: number) => void
-  /** The JSON body of an address answer (design page 5.2). */
-  readonly answerAddresses: (query: URLSearchParams, callerAddress: string, now: number) => Outcome<object, Refusal>
+  /**
+   * The JSON body of an address answer (design page 5.2). Without it, the entry has no paths of its
+   * own, and every path is routed.
+   */
+  readonly answerAddresses?: (query: URLSearchParams, callerAddress: string, now: number) => Outcome<object, Refusal>
   /** Connections that this VM may hold to a target. */
   readonly connectionLimit: (service: string, target: string, now: number) => number
   /** Median latency of the class in ms; undefined while there are too few answers. */
   readonly medianLatencyMs: (service: string, className: string, now: number) => number | undefined
   /** Receives one record for each finished request. */
   readonly observe: (finished: FinishedRequest) => void
+  /** Default: the fleet's own. */
+  readonly dialect?: Dialect
+  /** Longest pause after which a connection is used again for a request that must not run twice, in ms. Default: 1000. */
+  readonly reuseWithinMs?: number
+  /** Part of an answer's body that is read before the answer is sent on, in bytes. Default: 0. */
+  readonly collectBytes?: number
   readonly log: Log
   readonly clock: Clock
+  /** Read again for each request, except the limits of the head and of connections. */
   readonly limits: Limits
 }
--- a/src/entry/request.ts
+++ b/src/entry/request.ts
@@ -1,12 +1,13 @@
 /** What the entry reads from a request before it is routed. */
 import type { IncomingMessage } from 'node:http'
-import { err, ok, type Result as Outcome } from 'neverthrow'
+import { err, type Result as Outcome } from 'neverthrow'
 import { refusal, type Refusal } from '../errors/index.js'
 import { checkFraming } from './framing.js'
-import { CALLER, DEADLINE_MS, tokensOf, valuesOf, type RawHeaders } from './headers.js'
+import type { CallerWish, Dialect } from './dialect.js'
+import { tokensOf, type RawHeaders } from './headers.js'
 
 /** A request with valid framing. */
-export interface ParsedRequest {
+export interface ParsedRequest extends CallerWish {
   readonly method: string
   /** In lower case, without port. */
   readonly host: string
@@ -20,19 +21,6 @@
   readonly contentLength: number | undefined
   readonly hasBody: boolean
   readonly expectsContinue: boolean
-  readonly idempotencyKey: string | undefined
-  /** The caller's own deadline, in ms from the arrival of the request. */
-  readonly deadlineMs: number | undefined
-}
-
-/** Longer keys would not fit the platform's table. */
-const IDEMPOTENCY_KEY_MAX_LENGTH = 256
-
-/** The caller's key in the fair queue: the header `Camphorbay-Caller`, or else its address. */
-export function callerKeyOf (request: IncomingMessage): string {
-  const named = request.headers[CALLER]
-  if (typeof named === 'string' && named !== '') return named
-  return request.socket.remoteAddress ?? ''
 }
 
 /** Splits the request target; undefined when it has neither origin nor absolute form. */
@@ -44,11 +32,6 @@
   return { host: absolute[1] ?? '', pathAndQuery: rest.startsWith('/') ? rest : `/${rest}` }
 }
 
-/** A caller's deadline; undefined when the value is not a whole positive number of ms. */
-function parseDeadline (value: string): number | undefined {
-  return /^\d{1,9}$/.test(value) && Number(value) > 0 ? Number(value) : undefined
-}
-
 function checkFields (request: IncomingMessage): Refusal | undefined {
   const framing = checkFraming(request)
   if (framing !== undefined) return framing
@@ -57,14 +40,6 @@
   if (expectations.some(expectation => expectation !== '100-continue')) {
     return refusal('bad-request', 'the only supported expectation is 100-continue')
   }
-  const keys = valuesOf(request.rawHeaders, 'idempotency-key')
-  if (keys.length > 1 || (keys[0]?.length ?? 0) > IDEMPOTENCY_KEY_MAX_LENGTH) {
-    return refusal('bad-request', `there is one Idempotency-Key of at most ${IDEMPOTENCY_KEY_MAX_LENGTH} characters`)
-  }
-  const deadline = valuesOf(request.rawHeaders, DEADLINE_MS)
-  if (deadline.length > 0 && (deadline.length > 1 || parseDeadline(deadline[0] as string) === undefined)) {
-    return refusal('bad-request', 'Camphorbay-Deadline-Ms is not a whole positive number of ms')
-  }
   return undefined
 }
 
@@ -73,7 +48,7 @@
  *
  * Errors: `framing-ambiguous`, `bad-request`, `body-too-large`; all of them not run.
  */
-export function parseRequest (request: IncomingMessage, bodyLimitBytes: number): Outcome<ParsedRequest, Refusal> {
+export function parseRequest (request: IncomingMessage, bodyLimitBytes: number, dialect: Dialect): Outcome<ParsedRequest, Refusal> {
   const refused = checkFields(request)
   if (refused !== undefined) return err(refused)
   const target = splitTarget(request.url ?? '', request.headers.host ?? '')
@@ -84,9 +59,8 @@
   if ((contentLength ?? 0) > bodyLimitBytes) {
     return err(refusal('body-too-large', `Content-Length is above ${bodyLimitBytes} bytes`))
   }
-  const deadline = valuesOf(request.rawHeaders, DEADLINE_MS)[0]
-  const key = request.headers['idempotency-key']
-  return ok({
+  return dialect.readWish(request.rawHeaders).map(wish => ({
+    ...wish,
     method: request.method ?? '',
     host: target.host.toLowerCase().replace(/:\d*$/, ''),
     authority: target.host,
@@ -95,8 +69,6 @@
     headers: request.rawHeaders,
     contentLength,
     hasBody: (contentLength ?? 0) > 0 || request.headers['transfer-encoding'] !== undefined,
-    expectsContinue: request.httpVersion === '1.1' && request.headers.expect !== undefined,
-    idempotencyKey: typeof key === 'string' && key !== '' ? key : undefined,
-    deadlineMs: deadline === undefined ? undefined : parseDeadline(deadline)
-  })
+    expectsContinue: request.httpVersion === '1.1' && request.headers.expect !== undefined
+  }))
 }
--- a/src/health/judge.ts
+++ b/src/health/judge.ts
@@ -168,7 +168,7 @@
   let all = 0
   for (const { outcome, count } of samples) {
     if (isPathFailure(outcome)) path += count
-    if (outcome !== 'shed' && outcome !== 'cancelled') all += count
+    if (outcome !== 'shed' && outcome !== 'misdirected' && outcome !== 'cancelled') all += count
   }
   return path * 2 > all
 }
--- a/src/health/outcome.ts
+++ b/src/health/outcome.ts
@@ -6,7 +6,7 @@
 
 /** Every outcome, in the order in which explanations list them. */
 export const OUTCOMES = [
-  'answered', 'slow', 'failed', 'truncated', 'timeout', 'unreachable', 'silent', 'reset', 'shed', 'draining', 'cancelled'
+  'answered', 'slow', 'failed', 'truncated', 'timeout', 'unreachable', 'silent', 'reset', 'shed', 'draining', 'cancelled', 'misdirected'
 ] as const satisfies readonly Outcome[]
 
 /** A number of equal outcomes at one target in one class. */
@@ -31,7 +31,8 @@
   reset: 'bad',
   shed: 'neutral',
   draining: 'neutral',
-  cancelled: 'neutral'
+  cancelled: 'neutral',
+  misdirected: 'neutral'
 }
 
 /** Whether an outcome speaks for or against the target. */
--- a/src/model/configuration.ts
+++ b/src/model/configuration.ts
@@ -28,6 +28,10 @@
   readonly deadlineMs: number
   /** Classes with a higher number are admitted first. */
   readonly priority: number
+  /** Targets to which one request may be sent. Default: no limit but the retry budget. */
+  readonly maxAttempts?: number
+  /** Time within which an answer is of full use, in ms. Default: the deadline. */
+  readonly objectiveMs?: number
 }
 
 /** Maps requests to a service and one of its classes. */
--- a/src/model/traffic.ts
+++ b/src/model/traffic.ts
@@ -14,6 +14,7 @@
   | 'reset'        // the target closed the connection before answering
   | 'shed'         // the target said that it did not run the request
   | 'draining'     // the target announced that it is leaving
+  | 'misdirected'  // another target has the address, and did not run the request
   | 'cancelled'    // the caller went away
 
 /** Outcome of one attempt at a target, the only evidence of health. */
@@ -41,6 +42,16 @@
   readonly avoidPlaces: ReadonlySet<string>
 }
 
+/** A request for a slot with what its class says about it. */
+export interface PlacementRequest extends SlotRequest {
+  readonly requestId: string
+  readonly idempotent: boolean
+  /** Priority of the class. */
+  readonly priority: number
+  /** End of the time within which an answer is of full use, on the clock of `now`. */
+  readonly objectiveAt: number
+}
+
 /** Permission to run one request at a target. */
 export interface Slot {
   readonly target: Target
@@ -49,14 +60,14 @@
 }
 
 /** Waits in a bounded queue for a slot on a suitable target. */
-export interface Admission {
-  readonly acquire: (wanted: SlotRequest, now: number) => Effect.Effect<Slot, Refusal>
+export interface Admission<Wanted extends SlotRequest = PlacementRequest> {
+  readonly acquire: (wanted: Wanted, now: number) => Effect.Effect<Slot, Refusal>
 }
 
 /** What a request's route says about it. */
-export interface ResolvedRoute {
+export interface ResolvedRoute<Found extends Pick<Service, 'name'> = Pick<Service, 'name'>> {
   readonly route: string
-  readonly service: Service
+  readonly service: Found
   readonly class: Class
 }
 
--- a/src/routing/route-table.ts
+++ b/src/routing/route-table.ts
@@ -9,7 +9,7 @@
    * @param url path with query, as in the request line
    * @returns `route-unknown` when nothing matches
    */
-  readonly find: (host: string, url: string, method: string) => Result<ResolvedRoute, Refusal>
+  readonly find: (host: string, url: string, method: string) => Result<ResolvedRoute<Service>, Refusal>
 }
 
 /** Routes of one host by path prefix without a trailing slash. */
