--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -13,8 +13,11 @@
 
 /** The catalog of one VM. Times are in ms on the VM's steady clock. */
 export interface Catalog {
-  /** Applies rows of a section; older versions of a row are ignored. */
-  readonly apply: (batch: Batch, now: number) => void
+  /**
+   * Applies a batch; older versions of an entry are ignored. False when changes between what is known
+   * and the batch are missing; the batch is not applied then.
+   */
+  readonly apply: (batch: Batch, now: number) => boolean
   /** Ends the grace of entries that disappeared in an outage of the store. */
   readonly sweep: (now: number) => void
   /** Records that the store could not be read at this time. */
@@ -24,6 +27,8 @@
   /** Targets of a service that may get work. */
   readonly usable: (service: string) => readonly Listing[]
   readonly find: (id: string) => Listing | undefined
+  /** All targets, those that leave included. */
+  readonly listings: () => readonly Listing[]
   /** Version up to which a section is known; 0 before the first batch. */
   readonly upTo: (section: Section) => number
   /** All entries of a section, for a VM that follows this one. */
@@ -59,7 +64,7 @@
  *
  * @example
  * const catalog = createCatalog(log)
- * catalog.apply({ section: 'listings', changes, upTo: 530, complete: true }, clock())
+ * catalog.apply({ section: 'listings', changes, after: undefined, upTo: 530 }, clock())
  * catalog.usable('search') // listings
  */
 export function createCatalog (log: Log): Catalog {
@@ -124,16 +129,18 @@
     return missing.map(([id]) => withdraw(id, now)).includes(true)
   }
 
-  const apply = (batch: Batch, now: number): void => {
+  const apply = (batch: Batch, now: number): boolean => {
+    if (batch.after !== undefined && batch.after > state.upTo[batch.section]) return false
     const isOld = batch.upTo < state.upTo[batch.section]
     const take = batch.section === 'rulesets' ? takeRuleset : takeListing
     const taken = batch.changes.map(change => take(change, now))
     // A batch that another VM read earlier says nothing of what is missing by now.
-    const removed = batch.complete && !isOld && batch.section === 'listings' && withdrawMissing(batch, now)
+    const removed = batch.after === undefined && !isOld && batch.section === 'listings' && withdrawMissing(batch, now)
     state.upTo[batch.section] = Math.max(state.upTo[batch.section], batch.upTo)
-    if (!removed && !taken.includes(true)) return
+    if (!removed && !taken.includes(true)) return true
     state.byService = indexByService(state)
     for (const listener of listeners) listener(batch)
+    return true
   }
 
   const sweep = (now: number): void => {
@@ -142,11 +149,16 @@
     if (due.length > 0) state.byService = indexByService(state)
   }
 
+  const knownChanges = (section: Section): readonly Change[] => {
+    if (section === 'rulesets') return state.ruleset === undefined ? [] : [state.ruleset]
+    return [...state.listings].flatMap(([id, change]) => state.lapsing.has(id) ? [] : [change])
+  }
+
   const snapshot = (section: Section): Batch => ({
     section,
-    changes: section === 'rulesets' ? (state.ruleset === undefined ? [] : [state.ruleset]) : [...state.listings.values()].filter(({ entry }) => entry.kind === 'listing' && !state.lapsing.has(entry.id)),
-    upTo: state.upTo[section],
-    complete: true
+    changes: knownChanges(section),
+    after: undefined,
+    upTo: state.upTo[section]
   })
 
   return {
@@ -160,6 +172,7 @@
       const entry = state.listings.get(id)?.entry
       return entry?.kind === 'listing' ? entry.listing : undefined
     },
+    listings: () => [...state.listings.values()].flatMap(({ entry }) => entry.kind === 'listing' ? [entry.listing] : []),
     upTo: section => state.upTo[section],
     snapshot,
     onChange: listener => { listeners.push(listener) }
--- a/src/catalog/model.ts
+++ b/src/catalog/model.ts
@@ -91,8 +91,8 @@
 export interface Batch {
   readonly section: Section
   readonly changes: readonly Change[]
-  /** The store's version up to which the batch is complete. */
+  /** The store's version behind which the batch has every change; undefined when it has all entries, and others are gone. */
+  readonly after: number | undefined
+  /** The store's version up to which the batch has every change. */
   readonly upTo: number
-  /** Whether entries that the batch does not name are gone. */
-  readonly complete: boolean
 }
--- /dev/null
+++ b/src/edge/edge.ts
@@ -0,0 +1,276 @@
+/** A VM of a fleet that keeps its configuration and its targets in a store. */
+import { Effect, Fiber } from 'effect'
+import { createBranches, createCatalog, type Catalog } from '../catalog/index.js'
+import { createEntry, type Dialect, type Entry, type FinishedRequest, type Limits } from '../entry/index.js'
+import { createFollowing, type Following } from '../following/index.js'
+import type { Log } from '../log/index.js'
+import type { Clock } from '../model/index.js'
+import { createIncarnation, createMesh, type PeerMesh } from '../peer/index.js'
+import { createPlacing, type Placing } from '../placing/index.js'
+import { createQuarantine } from '../quarantine/index.js'
+import { createRoster, type Roster, type Status } from '../roster/index.js'
+import type { Store } from '../store/index.js'
+import { jsonAnswer, NOT_FOUND, openEndpoint, type OpenFailure, type Responder } from './http-endpoint.js'
+import { join, VMS_PATH } from './joining.js'
+import { resolveRequest } from './routes.js'
+import type { EdgeSettings } from './settings.js'
+
+/** VMs of a zone that callers are told to use. */
+const SERVING_PER_ZONE = 3
+/** Part of an answer that is read before it is sent on; larger ones are streamed. */
+const COLLECT_BYTES = 64 * 1024
+/** A connection to a target that is established later than this is tried elsewhere. */
+const CONNECT_TIMEOUT_MS = 300
+/** Older idle connections may have gone silent. */
+const REUSE_WITHIN_MS = 3000
+const HOUSEKEEPING_MS = 250
+/** Part of the grace for which a VM that stops goes on as before, until callers have new addresses. */
+const STAY_PART = 0.45
+/** Time at the end of the grace that is left for the end of the process. */
+const END_MARGIN_MS = 250
+/** Callers that keep an answer with addresses for longer than told keep it three times as long. */
+const KEPT_FACTOR = 3
+/** Limits before the first ruleset. */
+const FIRST_LIMITS = { headerBytes: 65_536, bodyBytes: 64 * 1024 * 1024, headerTimeMs: 5000, idleTimeMs: 30_000 } as const
+/** Longest time of a request, above every timeout of a route. */
+const REQUEST_LIMIT_MS = 120_000
+const CALLER_CONNECTIONS = 2500
+
+/** What a VM needs besides its settings. */
+export interface EdgeOptions {
+  readonly settings: EdgeSettings
+  readonly store: Store
+  readonly dialect: Dialect
+  /** Answers of the directory and of the readiness endpoint, in the form of the machines' operators. */
+  readonly directoryResponder: (addresses: () => AddressAnswer) => Responder
+  readonly readinessResponder: (isReady: () => boolean) => Responder
+  readonly log: Log
+  readonly clock?: Clock
+  readonly random?: () => number
+}
+
+/** VMs that a caller should use. */
+export interface AddressAnswer {
+  /** Addresses with port. */
+  readonly addresses: readonly string[]
+  readonly ttlMs: number
+}
+
+/** A running VM. */
+export interface Edge {
+  /** Graceful shutdown; ends when the last request is answered, at most the grace after the call. */
+  readonly stop: Effect.Effect<void>
+}
+
+interface Parts {
+  readonly catalog: Catalog
+  readonly mesh: PeerMesh
+  readonly roster: Roster
+  readonly following: Following
+  readonly placing: Placing
+  readonly entry: Entry
+}
+
+/** Limits on callers as the ruleset in force has them. */
+function createLimits (catalog: Catalog, { graceMs }: EdgeSettings): Limits {
+  const current = (): typeof FIRST_LIMITS | NonNullable<ReturnType<Catalog['ruleset']>>['limits'] => catalog.ruleset()?.limits ?? FIRST_LIMITS
+  return {
+    headerBytes: FIRST_LIMITS.headerBytes,
+    get bodyBytes () { return current().bodyBytes },
+    get headerTimeMs () { return current().headerTimeMs },
+    get idleTimeMs () { return current().idleTimeMs },
+    requestLimitMs: REQUEST_LIMIT_MS,
+    connections: CALLER_CONNECTIONS,
+    stopLimitMs: graceMs * (1 - STAY_PART) - END_MARGIN_MS
+  }
+}
+
+/** Reports requests that were not answered by a target. */
+function createObserver (log: Log): (finished: FinishedRequest) => void {
+  return ({ requestId, service, class: className, ending, kind, detail, status, run, durationMs, attempts }) => {
+    if (ending === 'answered' && (status ?? 0) < 500) return
+    log.info(`request.${ending}`, {
+      requestId, service, class: className, kind, detail, status, run, durationMs: Math.round(durationMs), attempts
+    })
+  }
+}
+
+/** Runs a task; a defect is logged and the task starts again. */
+function supervise (name: string, log: Log, task: Effect.Effect<unknown>): Effect.Effect<never> {
+  return Effect.forever(task.pipe(
+    Effect.catchCause(cause => Effect.sync(() => log.error('task.failed', { task: name, cause: String(cause) }))),
+    Effect.andThen(Effect.sleep(HOUSEKEEPING_MS))
+  ))
+}
+
+/**
+ * Starts a VM.
+ *
+ * @returns fails when an endpoint cannot be opened
+ *
+ * @example
+ * const edge = await Effect.runPromise(startEdge({ settings, store, dialect, directoryResponder, readinessResponder, log }))
+ * process.once('SIGTERM', () => { void Effect.runPromise(edge.stop) })
+ */
+export function startEdge (options: EdgeOptions): Effect.Effect<Edge, OpenFailure> {
+  const { settings, store, dialect, log, clock = () => performance.now(), random = Math.random } = options
+  const { vm } = settings
+  let readySince: number | undefined
+  let isLeaving = false
+
+  const catalog = createCatalog(log)
+  const mesh = createMesh({
+    self: vm,
+    incarnation: createIncarnation(Date.now()),
+    // The machines share no secret; links are open to whoever reaches the ports between VMs.
+    key: Buffer.from('camphorbay'),
+    wanted: () => roster.linksWanted(clock()),
+    log,
+    clock
+  })
+
+  const statusAt = (now: number): Status => ({
+    phase: isLeaving ? 'leaving' : readySince === undefined ? 'starting' : 'ready',
+    storeAgeMs: following.storeAgeMs(now),
+    rulesetsUpTo: catalog.upTo('rulesets'),
+    listingsUpTo: catalog.upTo('listings'),
+    readyMs: readySince === undefined ? 0 : now - readySince
+  })
+  const roster: Roster = createRoster({
+    self: vm,
+    mesh,
+    servingPerZone: SERVING_PER_ZONE,
+    status: statusAt,
+    heard: (from, status, now) => following.heard(from, status, now),
+    log,
+    clock
+  })
+  const following: Following = createFollowing({ place: vm.place, store, catalog, mesh, roster: () => roster, random, log, clock })
+  const servingVMs = createServingView(roster, vm.name)
+  const quarantine = createQuarantine({ mesh, log, clock, members: () => servingVMs.all(clock()).filter(name => name !== vm.name) })
+  const placing = createPlacing({
+    self: vm.name,
+    zone: vm.place,
+    catalog,
+    mesh,
+    servingVMs: servingVMs.all,
+    neighbours: servingVMs.neighbours,
+    retries: settings.retries,
+    observe: quarantine.observe,
+    random,
+    log,
+    clock
+  })
+  const branches = createBranches(random)
+  const entry = createEntry({
+    resolve: (host, path) => resolveRequest(catalog, branches, host, path, following.confirmedAgeMs(clock())),
+    serves: () => undefined,
+    quarantined: quarantine.quarantined,
+    admission: placing,
+    takeRetry: placing.takeRetry,
+    earnRetry: placing.earnRetry,
+    connectionLimit: (service, _target, now) => connectionShare(catalog, service, servingVMs.all(now).length),
+    medianLatencyMs: placing.usualMs,
+    observe: createObserver(log),
+    tellsCallersApart: true,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    reuseWithinMs: REUSE_WITHIN_MS,
+    collectBytes: COLLECT_BYTES,
+    dialect,
+    log,
+    clock,
+    limits: createLimits(catalog, settings)
+  })
+
+  const isReady = (): boolean => readySince !== undefined && !isLeaving
+  const addresses = (): AddressAnswer => {
+    const serving = roster.serving(clock())
+    const used = serving.length > 0 || isLeaving ? serving : [vm]
+    return { addresses: used.map(({ callers }) => `${callers.address}:${callers.port}`), ttlMs: settings.addressTtlMs }
+  }
+  const adminResponder: Responder = path => path === VMS_PATH ? jsonAnswer(200, roster.known()) : NOT_FOUND
+
+  const housekeeping = Effect.forever(Effect.suspend(() => {
+    const now = clock()
+    catalog.sweep(now)
+    quarantine.sweep(now)
+    if (readySince === undefined && catalog.ruleset() !== undefined && catalog.upTo('listings') > 0) {
+      readySince = now
+      log.info('vm.ready', { ruleset: catalog.ruleset()?.version, targets: catalog.listings().length })
+      roster.announce(now)
+    }
+    return Effect.sleep(HOUSEKEEPING_MS)
+  }))
+
+  const parts: Parts = { catalog, mesh, roster, following, placing, entry }
+
+  return Effect.gen(function * () {
+    yield * openEndpoint('readiness', settings.readiness, options.readinessResponder(isReady), log)
+    yield * openEndpoint('admin', settings.admin, adminResponder, log)
+    yield * openEndpoint('directory', settings.directory, options.directoryResponder(addresses), log)
+    yield * Effect.mapError(parts.mesh.listen(), ({ detail }) => ({ endpoint: 'peers', detail }))
+    yield * Effect.mapError(entry.listen(vm.callers), ({ message }) => ({ endpoint: 'callers', detail: message }))
+    const tasks = [
+      ['joining', join({ self: vm, seeds: settings.seeds, store, roster, log })],
+      ['following', following.run],
+      ['placing', placing.maintain],
+      ['housekeeping', housekeeping]
+    ] as const
+    const fibers = tasks.map(([name, task]) => Effect.runFork(supervise(name, log, task)))
+    log.info('vm.started', { place: vm.place })
+
+    const stop = Effect.gen(function * () {
+      const stopAt = clock()
+      isLeaving = true
+      log.info('vm.stopping', { graceMs: settings.graceMs })
+      roster.announce(stopAt)
+      yield * Effect.sleep(Math.min(settings.graceMs * STAY_PART, settings.addressTtlMs * KEPT_FACTOR))
+      yield * entry.stop(clock())
+      yield * Effect.forEach(fibers, Fiber.interrupt, { discard: true })
+      yield * mesh.stop()
+      store.close()
+      log.info('vm.stopped')
+    })
+    return { stop }
+  })
+}
+
+/** Connections that this VM may hold to one target, so that all serving VMs together stay within its limit. */
+function connectionShare (catalog: Catalog, service: string, vms: number): number {
+  const limit = catalog.ruleset()?.pools.find(({ name }) => name === service)?.maxConnections ?? 1
+  // VMs that callers still use after they left the answers hold some as well.
+  return Math.max(2, Math.floor(limit / (2 * Math.max(1, vms))))
+}
+
+/** The VMs that serve callers, in the view of this VM. */
+interface ServingView {
+  /** Of all zones, this VM included. */
+  readonly all: (now: number) => readonly string[]
+  /** Of the own zone, without this VM. */
+  readonly neighbours: (now: number) => readonly string[]
+}
+
+/** Computed anew at most this often, in ms: each placed request asks for it. */
+const SERVING_VIEW_MS = 100
+
+function createServingView (roster: Roster, self: string): ServingView {
+  let computedAt = -Infinity
+  let near: readonly string[] = []
+  let all: readonly string[] = []
+  const refresh = (now: number): void => {
+    if (now - computedAt < SERVING_VIEW_MS) return
+    computedAt = now
+    near = roster.serving(now).map(({ name }) => name)
+    all = [...new Set([self, ...near, ...roster.servingElsewhere(now).map(({ name }) => name)])]
+  }
+  return {
+    all: now => {
+      refresh(now)
+      return all
+    },
+    neighbours: now => {
+      refresh(now)
+      return near.filter(name => name !== self)
+    }
+  }
+}
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -203,6 +203,7 @@
     slot.release(result === undefined
       ? undefined
       : {
+          requestId: exchange.id,
           service: shared.service,
           target: slot.target.id,
           class: shared.class,
--- a/src/entry/checks.ts
+++ b/src/entry/checks.ts
@@ -1,7 +1,7 @@
 /** The checks of a routed request that depend on its body: quarantine, and the claim of its key. */
 import { Effect } from 'effect'
 import { refusal, type Refusal } from '../errors/index.js'
-import type { Claim, RecordedAnswer, ResolvedRoute } from '../model/index.js'
+import type { Claim, Claims, RecordedAnswer, ResolvedRoute } from '../model/index.js'
 import type { Body } from './body.js'
 import type { Exchange } from './exchange.js'
 import { fingerprintOf } from './fingerprint.js'
@@ -59,9 +59,11 @@
 }
 
 /** Claims the key, and keeps the claim also when the caller goes away in the meantime. */
-function claimKey (options: EntryOptions, routed: Routed, state: State, key: string, fingerprint: string): Effect.Effect<void, Refusal> {
+function claimKey (
+  options: EntryOptions, claims: Claims, routed: Routed, state: State, key: string, fingerprint: string
+): Effect.Effect<void, Refusal> {
   const wanted = { service: routed.route.service.name, idempotencyKey: key, fingerprint, deadlineAt: routed.deadlineAt }
-  return Effect.uninterruptibleMask(restore => restore(options.claims.claim(wanted, options.clock())).pipe(
+  return Effect.uninterruptibleMask(restore => restore(claims.claim(wanted, options.clock())).pipe(
     Effect.tap(result => Effect.sync(() => {
       if (result.kind === 'claimed') state.claim = result.claim
       else state.replay = result.answer
@@ -80,14 +82,15 @@
   // With an expectation, a slot is held meanwhile; the deadline is checked below.
   yield * body.readPrefix(Math.max(0, deadlineAt - options.clock()))
   exchange.setAwaited(() => undefined)
-  const fingerprint = fingerprintOf(route.service.name, request, body.prefix())
+  const caller = options.tellsCallersApart === true ? exchange.callerKey : ''
+  const fingerprint = fingerprintOf(route.service.name, request, body.prefix(), caller)
   state.fingerprint = fingerprint
   if (options.quarantined(fingerprint, options.clock())) {
     return yield * Effect.fail(refusal('request-quarantined', 'equal requests crashed several targets'))
   }
   yield * checkTime(options, route, deadlineAt)
-  if (route.class.idempotent || request.idempotencyKey === undefined) return
-  yield * claimKey(options, routed, state, request.idempotencyKey, fingerprint)
+  if (route.class.idempotent || request.idempotencyKey === undefined || options.claims === undefined) return
+  yield * claimKey(options, options.claims, routed, state, request.idempotencyKey, fingerprint)
   if (state.replay !== undefined) yield * Effect.fail(REPLAY)
 })
 
--- a/src/entry/fingerprint.ts
+++ b/src/entry/fingerprint.ts
@@ -6,13 +6,13 @@
 export const BODY_PREFIX_BYTES = 64 * 1024
 
 /**
- * SHA-256 over service, method, path and query, `Content-Length` and the first
- * 64 KB of the body, in hexadecimal. The Idempotency-Key is left out, so a
+ * SHA-256 over service, method, path and query, `Content-Length`, the caller if it is
+ * given, and the first 64 KB of the body, in hexadecimal. The Idempotency-Key is left out, so a
  * crashing request is recognised under a new key.
  */
-export function fingerprintOf (service: string, request: ParsedRequest, prefix: readonly Uint8Array[]): string {
+export function fingerprintOf (service: string, request: ParsedRequest, prefix: readonly Uint8Array[], caller = ''): string {
   const hash = createHash('sha256')
-  const head = [service, request.method, request.pathAndQuery, String(request.contentLength ?? '')]
+  const head = [service, request.method, request.pathAndQuery, String(request.contentLength ?? ''), ...(caller === '' ? [] : [caller])]
   // JSON keeps the borders between the parts unambiguous.
   hash.update(JSON.stringify(head))
   let left = BODY_PREFIX_BYTES
--- a/src/entry/handle.ts
+++ b/src/entry/handle.ts
@@ -88,7 +88,7 @@
     onChunk: recorder?.onChunk,
     onWhole: () => {
       onWhole()
-      if (claim !== undefined && recorder !== undefined) options.claims.finish(claim, recorder.recorded())
+      if (claim !== undefined && recorder !== undefined) options.claims?.finish(claim, recorder.recorded())
     }
   })
 }
@@ -112,7 +112,7 @@
   const checks = createChecks(options, routed)
   const abandonUnlessSent = Effect.sync(() => {
     const claim = checks.claim()
-    if (claim !== undefined && exchange.run() === 'not-run') options.claims.abandon(claim)
+    if (claim !== undefined && exchange.run() === 'not-run') options.claims?.abandon(claim)
   })
   const replayOrFail = (refused: Refusal): Effect.Effect<Ending, Refusal> => {
     const recorded = checks.replay()
--- a/src/entry/options.ts
+++ b/src/entry/options.ts
@@ -66,7 +66,8 @@
   /** Whether requests of this fingerprint crashed several targets. */
   readonly quarantined: (fingerprint: string, now: number) => boolean
   readonly admission: Admission
-  readonly claims: Claims
+  /** Without it, idempotency keys have no effect. */
+  readonly claims?: Claims
   /** Takes one token of the service's retry budget; false when there is none. */
   readonly takeRetry: (service: string, now: number) => boolean
   /** Records a first attempt, which earns a part of a token. */
@@ -82,6 +83,10 @@
   readonly medianLatencyMs: (service: string, className: string, now: number) => number | undefined
   /** Receives one record for each finished request. */
   readonly observe: (finished: FinishedRequest) => void
+  /** Whether equal requests of different callers count as different for the quarantine. Default: no. */
+  readonly tellsCallersApart?: boolean
+  /** Time for a connection to a target, in ms. Default: 1500. */
+  readonly connectTimeoutMs?: number
   /** Default: the fleet's own. */
   readonly dialect?: Dialect
   /** Longest pause after which a connection is used again for a request that must not run twice, in ms. Default: 1000. */
--- a/src/entry/pool.ts
+++ b/src/entry/pool.ts
@@ -45,6 +45,8 @@
 
 export interface PoolOptions {
   readonly connectionLimit: (service: string, target: string, now: number) => number
+  /** Time for a connection to be established, in ms. Default: 1500. */
+  readonly connectTimeoutMs?: number
   readonly clock: () => number
 }
 
@@ -116,6 +118,7 @@
  * const connection = yield* pools.acquire({ service, target, idleSince: -Infinity, deadlineAt }, now)
  */
 export function createPools (options: PoolOptions): Pools {
+  const { connectTimeoutMs = CONNECT_TIMEOUT_MS } = options
   const pools = new Map<string, Pool>()
   let isClosed = false
   const poolOf = new WeakMap<Socket, Pool>()
@@ -173,7 +176,7 @@
   const openIn = (pool: Pool, deadlineAt: number): Effect.Effect<Connection, NoConnection> => Effect.suspend(() => {
     const now = options.clock()
     pool.count++
-    return open(pool.target, Math.min(CONNECT_TIMEOUT_MS, Math.max(1, deadlineAt - now))).pipe(
+    return open(pool.target, Math.min(connectTimeoutMs, Math.max(1, deadlineAt - now))).pipe(
       Effect.map(socket => {
         poolOf.set(socket, pool)
         return { socket, openedAt: now, isReused: false }
--- /dev/null
+++ b/src/following/messages.ts
@@ -0,0 +1,70 @@
+/** Messages that pass the catalog on between VMs. */
+import { Result as Decoded, Schema } from 'effect'
+import { err, ok, type Result } from 'neverthrow'
+import type { Batch, Section } from '../catalog/index.js'
+import type { Channel } from '../model/index.js'
+
+const SectionName = Schema.Literals(['rulesets', 'listings'])
+
+const Listing = Schema.Struct({
+  id: Schema.String,
+  service: Schema.String,
+  address: Schema.String,
+  port: Schema.Int,
+  zone: Schema.String,
+  slots: Schema.Int,
+  draining: Schema.Boolean,
+  warmupMs: Schema.Number,
+  startedAt: Schema.Number
+})
+
+const Rule = Schema.Struct({
+  name: Schema.String,
+  host: Schema.String,
+  prefix: Schema.String,
+  idempotent: Schema.Boolean,
+  branches: Schema.Array(Schema.Struct({ service: Schema.String, weight: Schema.Number })),
+  maxAttempts: Schema.Int,
+  timeoutMs: Schema.Number,
+  objectiveMs: Schema.Number,
+  priority: Schema.Int
+})
+
+const Ruleset = Schema.Struct({
+  version: Schema.Int,
+  rules: Schema.Array(Rule),
+  pools: Schema.Array(Schema.Struct({ name: Schema.String, healthPath: Schema.String, maxConnections: Schema.Int })),
+  limits: Schema.Struct({
+    headerBytes: Schema.Number, bodyBytes: Schema.Number, headerTimeMs: Schema.Number, idleTimeMs: Schema.Number
+  })
+})
+
+const Entry = Schema.Union([
+  Schema.Struct({ kind: Schema.Literal('ruleset'), ruleset: Ruleset }),
+  Schema.Struct({ kind: Schema.Literal('listing'), id: Schema.String, listing: Listing }),
+  Schema.Struct({ kind: Schema.Literal('withdrawn'), id: Schema.String })
+])
+
+const BatchBody = Schema.Struct({
+  section: SectionName,
+  changes: Schema.Array(Schema.Struct({ version: Schema.Int, entry: Entry })),
+  after: Schema.optional(Schema.Int),
+  upTo: Schema.Int
+})
+
+function parse<Value> (schema: Schema.Codec<Value, unknown>): (value: unknown) => Result<Value, string> {
+  const decode = Schema.decodeUnknownResult(schema)
+  return value => {
+    const decoded = decode(value)
+    return Decoded.isSuccess(decoded) ? ok(decoded.success) : err(String(decoded.failure))
+  }
+}
+
+/** From a reader to the VMs of its zone: what the store sent, or all that the sender knows. */
+export const batchChannel: Channel<Batch> = {
+  kind: 'batch',
+  parse: value => parse(BatchBody)(value).map(body => ({ ...body, after: body.after }))
+}
+
+/** Asks a VM for all that it knows of a section. */
+export const wantedChannel: Channel<Section> = { kind: 'batchWanted', parse: parse(SectionName) }
--- a/src/model/traffic.ts
+++ b/src/model/traffic.ts
@@ -19,6 +19,8 @@
 
 /** Outcome of one attempt at a target, the only evidence of health. */
 export interface Observation {
+  /** Absent where the attempt belongs to no request of a caller. */
+  readonly requestId?: string
   readonly service: string
   readonly target: string
   readonly class: string
--- /dev/null
+++ b/src/placing/messages.ts
@@ -0,0 +1,22 @@
+/** What VMs tell each other about targets. */
+import type { Channel } from '../model/index.js'
+import { integer, list, text, tuple, type Checked } from '../peer/index.js'
+
+const ID_LIMIT = 200
+const TARGETS_LIMIT = 4096
+
+const checkVerdict = tuple(text(ID_LIMIT, 1), integer(), integer(0, 1))
+
+/** Id of a target, start of its process, and 1 if it failed or 0 if it is sound again. */
+export type Verdict = Checked<typeof checkVerdict>
+
+/** To all linked VMs, at once: a target failed a request, or a suspect target served one. */
+export const verdictChannel: Channel<Verdict> = { kind: 'verdict', parse: checkVerdict }
+
+const checkLoads = list(tuple(text(ID_LIMIT, 1), integer(0, 65_535)), TARGETS_LIMIT)
+
+/** Requests of the sender that run at each target; targets without any are left out. */
+export type Loads = Checked<typeof checkLoads>
+
+/** To the serving VMs of the own zone, while it changes. */
+export const loadsChannel: Channel<Loads> = { kind: 'loads', parse: checkLoads }
--- /dev/null
+++ b/src/placing/placing.ts
@@ -0,0 +1,272 @@
+/** Places requests at targets: chooses, lets wait, or refuses. */
+import { Effect } from 'effect'
+import type { Catalog, Listing } from '../catalog/index.js'
+import { refusal, type Refusal } from '../errors/index.js'
+import type { Log } from '../log/index.js'
+import type { Admission, Clock, Mesh, Observation, PlacementRequest, Slot, Target } from '../model/index.js'
+import { chooseSuspect, chooseTarget, type Candidate, type Chosen } from './choose.js'
+import { expectedWaitMs, goesBefore, latestStart, returnAfterMs, shouldWait, type Flow, type Waiting } from './line.js'
+import { loadsChannel } from './messages.js'
+import { createRetryBudget, type RetryAllowance, type RetryBudget } from './retry-budget.js'
+import { createTargets, type Targets } from './targets.js'
+
+/** Time between two looks at those who wait. */
+const SWEEP_MS = 25
+/** Time between two messages about the own load. */
+const SHARE_LOADS_MS = 100
+/** An unchanged load is told again after this time, before others forget it. */
+const REPEAT_LOADS_MS = 300
+const PRUNE_MS = 5000
+/** Time over which the rate of ending requests is measured, in ms. */
+const RATE_WINDOW_MS = 2000
+/** Latency that is assumed before the first answer, in ms. */
+const ASSUMED_LATENCY_MS = 200
+/** A service whose last idempotent request is older than this has none for trials, in ms. */
+const IDEMPOTENT_MEMORY_MS = 3000
+/** Use of the sound slots above which targets on trial are needed. */
+const SCARCE_USE = 0.6
+/** Time after its hold at which a suspect target is tried with a request that must not run twice, in ms. */
+const RISKY_TRIAL_MS = { onlyWay: 1500, scarce: 500 } as const
+
+/** Places requests. */
+export interface Placing extends Admission {
+  /** Takes one repeat of a service from the budget; false when there is none. */
+  readonly takeRetry: (service: string, now: number) => boolean
+  /** Records the first attempt of a request. */
+  readonly earnRetry: (service: string, now: number) => void
+  /** Usual latency of a class in ms; undefined while it is not known. */
+  readonly usualMs: (service: string, className: string) => number | undefined
+  /** Looks after those who wait and tells other VMs of the load; runs until interrupted. */
+  readonly maintain: Effect.Effect<never>
+  readonly targets: Targets
+  readonly waiting: (service: string) => number
+}
+
+/** What placing depends on. */
+export interface PlacingOptions {
+  readonly self: string
+  readonly zone: string
+  readonly catalog: Catalog
+  readonly mesh: Mesh
+  /** Names of the VMs that serve callers, this VM included. */
+  readonly servingVMs: (now: number) => readonly string[]
+  /** Names of those of the own zone, without this VM. */
+  readonly neighbours: (now: number) => readonly string[]
+  readonly retries: RetryAllowance
+  /** Receives the outcome of each attempt. */
+  readonly observe: (observation: Observation, now: number) => void
+  readonly random: () => number
+  readonly log: Log
+  readonly clock: Clock
+}
+
+interface Entry extends Waiting {
+  readonly wanted: PlacementRequest
+  readonly deliver: (slot: Slot) => void
+  readonly refuse: (refused: Refusal) => void
+}
+
+/** The requests of one service at this VM. */
+interface Line {
+  entries: Entry[]
+  readonly budget: RetryBudget
+  idempotentAt: number
+  endedAt: number[]
+}
+
+/** A request that runs. */
+interface Running {
+  readonly listing: Listing
+  readonly className: string
+  readonly placedAt: number
+}
+
+function targetOf ({ id, address, port, zone, slots }: Listing, connections: number): Target {
+  return { id, address, port, place: zone, slots, connections }
+}
+
+/** Whether most slots of the sound targets are taken. */
+function isScarce (candidates: readonly Candidate[]): boolean {
+  const sound = candidates.filter(({ phase }) => phase === 'sound')
+  const slots = sound.reduce((sum, { listing }) => sum + listing.slots, 0)
+  const load = sound.reduce((sum, candidate) => sum + candidate.load, 0)
+  return load >= SCARCE_USE * slots
+}
+
+/**
+ * Creates the placing of one VM.
+ *
+ * @example
+ * const placing = createPlacing(options)
+ * const slot = yield * placing.acquire(wanted, clock())
+ */
+export function createPlacing (options: PlacingOptions): Placing {
+  const { catalog, mesh, clock, random, zone } = options
+  const targets = createTargets(options)
+  const lines = new Map<string, Line>()
+  const running = new Set<Running>()
+
+  const lineOf = (service: string): Line => {
+    const known = lines.get(service)
+    if (known !== undefined) return known
+    const line: Line = { entries: [], budget: createRetryBudget(options.retries), idempotentAt: -Infinity, endedAt: [] }
+    lines.set(service, line)
+    return line
+  }
+
+  const vmCount = (now: number): number => Math.max(1, options.servingVMs(now).length)
+
+  const flowOf = (service: string, className: string, candidates: readonly Candidate[], now: number): Flow => {
+    const usualMs = targets.latenciesOf(service).usualMs(className) ?? ASSUMED_LATENCY_MS
+    const line = lineOf(service)
+    line.endedAt = line.endedAt.filter(at => now - at <= RATE_WINDOW_MS)
+    const slots = candidates.reduce((sum, { phase, listing }) => phase === 'sound' ? sum + listing.slots : sum, 0)
+    const possible = slots / Math.max(1, usualMs) / vmCount(now)
+    return { endsPerMs: Math.max(line.endedAt.length / RATE_WINDOW_MS, possible), usualMs }
+  }
+
+  const riskyTrialAfterMs = (line: Line, candidates: readonly Candidate[], now: number): number => {
+    if (isScarce(candidates)) return RISKY_TRIAL_MS.scarce
+    return now - line.idempotentAt > IDEMPOTENT_MEMORY_MS ? RISKY_TRIAL_MS.onlyWay : Infinity
+  }
+
+  const choose = (wanted: PlacementRequest, candidates: readonly Candidate[], now: number): Chosen | undefined => {
+    const line = lineOf(wanted.service)
+    const isRetry = wanted.avoid.size > 0
+    const chosen = chooseTarget(candidates, {
+      zone,
+      idempotent: wanted.idempotent,
+      canRetry: !isRetry && line.budget.allows(vmCount(now), now),
+      riskyTrialAfterMs: isRetry ? Infinity : riskyTrialAfterMs(line, candidates, now),
+      random
+    })
+    if (chosen !== undefined || candidates.some(({ phase }) => phase === 'sound')) return chosen
+    return chooseSuspect(candidates)
+  }
+
+  const grant = (wanted: PlacementRequest, { listing, isTrial }: Chosen, now: number): Slot => {
+    const entry: Running = { listing, className: wanted.class, placedAt: now }
+    running.add(entry)
+    targets.loads.begin(listing.id)
+    if (isTrial) targets.beginTrial(listing.id)
+    const connections = catalog.ruleset()?.pools.find(({ name }) => name === listing.service)?.maxConnections ?? 1
+    let isReleased = false
+    return {
+      target: targetOf(listing, connections),
+      release: (observation, endedAt) => {
+        if (isReleased) return
+        isReleased = true
+        running.delete(entry)
+        targets.loads.end(listing.id)
+        lineOf(wanted.service).endedAt.push(endedAt)
+        targets.settle(listing, observation, now, endedAt)
+        if (observation !== undefined) options.observe(observation, endedAt)
+        serve(wanted.service, endedAt)
+      }
+    }
+  }
+
+  const tryGrant = (wanted: PlacementRequest, now: number): Slot | undefined => {
+    const candidates = targets.candidates(wanted.service, wanted.avoid, now)
+    const chosen = choose(wanted, candidates, now)
+    return chosen === undefined ? undefined : grant(wanted, chosen, now)
+  }
+
+  const drop = (line: Line, entry: Entry): void => { line.entries = line.entries.filter(other => other !== entry) }
+
+  const refuseBecause = (entry: Entry, line: Line, reason: string, flow: Flow): void => {
+    drop(line, entry)
+    entry.refuse(refusal('overloaded', reason, { retryAfterMs: returnAfterMs(line.entries.length, flow, random) }))
+  }
+
+  /** Gives free slots to those who wait, and refuses who cannot be served in time any more. */
+  function serve (service: string, now: number): void {
+    const line = lines.get(service)
+    if (line === undefined || line.entries.length === 0) return
+    for (const entry of [...line.entries]) {
+      const slot = tryGrant(entry.wanted, now)
+      if (slot === undefined) break
+      drop(line, entry)
+      entry.deliver(slot)
+    }
+    for (const entry of [...line.entries]) {
+      const flow = flowOf(service, entry.wanted.class, targets.candidates(service, entry.wanted.avoid, now), now)
+      if (latestStart(entry, flow, now) <= now) refuseBecause(entry, line, 'no slot became free in time', flow)
+    }
+  }
+
+  const enter = (line: Line, entry: Entry): number => {
+    const index = line.entries.findIndex(other => goesBefore(entry, other))
+    const position = index < 0 ? line.entries.length : index
+    line.entries.splice(position, 0, entry)
+    return position
+  }
+
+  const acquire: Admission['acquire'] = (wanted, now) => Effect.callback<Slot, Refusal>(resume => {
+    const line = lineOf(wanted.service)
+    if (wanted.idempotent) line.idempotentAt = now
+    const candidates = targets.candidates(wanted.service, wanted.avoid, now)
+    if (candidates.length === 0) {
+      const detail = wanted.avoid.size > 0 ? 'every target was tried' : 'the service has no target'
+      return resume(Effect.fail(refusal('no-target', detail, { retryAfterMs: returnAfterMs(0, { endsPerMs: 0, usualMs: 0 }, random) })))
+    }
+    const isFirst = line.entries.length === 0
+    const slot = isFirst ? tryGrant(wanted, now) : undefined
+    if (slot !== undefined) return resume(Effect.succeed(slot))
+    const entry: Entry = {
+      wanted,
+      urgency: -wanted.priority,
+      since: now,
+      objectiveAt: wanted.objectiveAt,
+      deadlineAt: wanted.deadlineAt,
+      deliver: granted => resume(Effect.succeed(granted)),
+      refuse: refused => resume(Effect.fail(refused))
+    }
+    const flow = flowOf(wanted.service, wanted.class, candidates, now)
+    const ahead = line.entries.filter(other => !goesBefore(entry, other)).length
+    if (!shouldWait(entry, ahead, flow, now)) {
+      const detail = `${ahead} requests wait, which takes about ${Math.round(expectedWaitMs(ahead, flow))} ms`
+      return resume(Effect.fail(refusal('overloaded', detail, { retryAfterMs: returnAfterMs(ahead, flow, random) })))
+    }
+    enter(line, entry)
+    serve(wanted.service, now)
+    return Effect.sync(() => drop(line, entry))
+  })
+
+  let sharedAt = -Infinity
+  let shared = ''
+  const shareLoads = (now: number): void => {
+    const loads = targets.loads.pack()
+    const text = JSON.stringify(loads)
+    if (now - sharedAt < (text === shared ? REPEAT_LOADS_MS : SHARE_LOADS_MS)) return
+    if (text === shared && loads.length === 0) return
+    sharedAt = now
+    shared = text
+    for (const vm of options.neighbours(now)) mesh.send(vm, loadsChannel, loads)
+  }
+
+  mesh.subscribe(loadsChannel, (from, loads) => targets.loads.take(from.vm, loads, clock()))
+
+  let prunedAt = -Infinity
+  const sweep = (now: number): void => {
+    for (const { listing, className, placedAt } of running) targets.judgeRunning(listing, className, placedAt, now)
+    for (const service of lines.keys()) serve(service, now)
+    shareLoads(now)
+    if (now - prunedAt < PRUNE_MS) return
+    prunedAt = now
+    targets.prune()
+  }
+
+  return {
+    acquire,
+    takeRetry: (service, now) => lineOf(service).budget.take(vmCount(now), now),
+    earnRetry: (service, now) => lineOf(service).budget.earn(now),
+    usualMs: (service, className) => targets.latenciesOf(service).usualMs(className),
+    maintain: Effect.forever(Effect.suspend(() => {
+      sweep(clock())
+      return Effect.sleep(SWEEP_MS)
+    })),
+    targets,
+    waiting: service => lines.get(service)?.entries.length ?? 0
+  }
+}
--- /dev/null
+++ b/src/store/index.ts
@@ -0,0 +1,2 @@
+/** The store that keeps what outlives the VMs. */
+export type { Store, StoreFailure } from './store.js'
