--- a/src/placing/choose.ts
+++ b/src/placing/choose.ts
@@ -2,8 +2,9 @@
  * Chooses the target of a request.
  *
  * Load this answers: requests that must not run twice are lost when their target fails, others can be
- * sent again. So a target that may have recovered is tried with an idempotent request first, and work
- * that cannot be repeated goes to targets that are sound.
+ * sent again, and every target begins to fail now and then. So idempotent requests go to all targets,
+ * first to those that were not heard of for longest, and find out. Requests that must not run twice are
+ * packed on as few sound targets as their number needs: a target without such work loses none.
  */
 import type { Listing } from '../catalog/index.js'
 import type { Phase } from './standing.js'
@@ -34,22 +35,30 @@
   readonly canRetry: boolean
   /** Whether requests that must not run twice may serve as trials, and how long after the hold, in ms. */
   readonly riskyTrialAfterMs: number
+  /** Whether requests go to all sound targets, also those that must not run twice. */
+  readonly isSpread: boolean
   /** Uniform in [0, 1). */
   readonly random: () => number
 }
 
 /** What was chosen. */
 export interface Chosen {
-  readonly listing: Listing
+  readonly candidate: Candidate
   readonly isTrial: boolean
 }
 
 /** Bytes between zones are paid for, so a target in another zone is chosen when it is this much less loaded. */
 const FAR_PENALTY = 0.5
-/** Weight of a target's last success: the longer ago, the more likely it turned bad unnoticed. */
-const UNPROVEN_PENALTY = 0.25
-/** Age of the last success at which the penalty is complete, in ms. */
+/** Weight of the time since a target's last success: the longer, the more likely it turned bad unnoticed. */
+const UNPROVEN_WEIGHT = 0.25
+/** Time since the last success at which the weight is complete, in ms. */
 const UNPROVEN_MS = 1500
+/** Part of a target's slots up to which requests are packed on it. */
+const PACKED_PART = 0.75
+/** Keeps targets above that part behind all others. */
+const ABOVE_PACKED = 2
+/** Weight of the load of a target below that part. */
+const PACKED_WEIGHT = 0.5
 /** Breaks ties, so that VMs do not choose alike. */
 const JITTER = 0.02
 
@@ -57,12 +66,26 @@
   return phase === 'due' && !isOnTrial && overdueMs >= trialDelayMs + afterMs
 }
 
+/** Lower for a target that is used less. */
+function spreadScore ({ listing, load, slowness }: Candidate): number {
+  return (load + 1) / listing.slots * slowness
+}
+
+/** Lower for a target that is used more, up to the part on which requests are packed. */
+function packedScore (candidate: Candidate): number {
+  const { listing, load, slowness } = candidate
+  const limit = Math.max(1, Math.floor(listing.slots * PACKED_PART))
+  if (load + 1 > limit) return ABOVE_PACKED + spreadScore(candidate)
+  return slowness - PACKED_WEIGHT * load / listing.slots
+}
+
 function scoreOf (candidate: Candidate, choice: Choice): number {
-  const { listing, load, slowness, provenAgeMs } = candidate
-  const use = (load + 1) / listing.slots * slowness
+  const { listing, provenAgeMs } = candidate
+  const use = choice.idempotent || choice.isSpread ? spreadScore(candidate) : packedScore(candidate)
   const distance = listing.zone === choice.zone ? 0 : FAR_PENALTY
-  const doubt = choice.idempotent ? 0 : UNPROVEN_PENALTY * Math.min(1, provenAgeMs / UNPROVEN_MS)
-  return use + distance + doubt + JITTER * choice.random()
+  const unproven = UNPROVEN_WEIGHT * Math.min(1, provenAgeMs / UNPROVEN_MS)
+  // A request that can be repeated finds out; another one avoids the risk.
+  return use + distance + (choice.idempotent ? -unproven : unproven) + JITTER * choice.random()
 }
 
 function best (candidates: readonly Candidate[], score: (candidate: Candidate) => number): Candidate | undefined {
@@ -87,15 +110,15 @@
   const trialAfterMs = choice.idempotent && choice.canRetry ? 0 : choice.riskyTrialAfterMs
   const due = candidates.filter(candidate => isTrialDue(candidate, trialAfterMs))
   const trial = best(due, ({ overdueMs }) => -overdueMs)
-  if (trial !== undefined) return { listing: trial.listing, isTrial: true }
+  if (trial !== undefined) return { candidate: trial, isTrial: true }
   const free = candidates.filter(({ phase, load, listing }) => phase === 'sound' && load < listing.slots)
   const sound = best(free, candidate => scoreOf(candidate, choice))
-  return sound === undefined ? undefined : { listing: sound.listing, isTrial: false }
+  return sound === undefined ? undefined : { candidate: sound, isTrial: false }
 }
 
 /** Chooses among targets that are not sound, when no other is left: the one that failed longest ago. */
 export function chooseSuspect (candidates: readonly Candidate[]): Chosen | undefined {
   const free = candidates.filter(({ phase, load, listing, isOnTrial }) => phase === 'due' && !isOnTrial && load < listing.slots)
   const suspect = best(free, ({ overdueMs }) => -overdueMs)
-  return suspect === undefined ? undefined : { listing: suspect.listing, isTrial: true }
+  return suspect === undefined ? undefined : { candidate: suspect, isTrial: true }
 }
--- a/src/placing/placing.ts
+++ b/src/placing/placing.ts
@@ -25,6 +25,10 @@
 const IDEMPOTENT_MEMORY_MS = 3000
 /** Use of the sound slots above which targets on trial are needed. */
 const SCARCE_USE = 0.6
+/** Part of a service's requests that fail above which all sound targets are used. */
+const SPREAD_FAILURES = 0.05
+/** Time over which that part is measured, in ms. */
+const FAILURES_WINDOW_MS = 3000
 /** Time after its hold at which a suspect target is tried with a request that must not run twice, in ms. */
 const RISKY_TRIAL_MS = { onlyWay: 1500, scarce: 500 } as const
 
@@ -72,6 +76,8 @@
   readonly budget: RetryBudget
   idempotentAt: number
   endedAt: number[]
+  /** Recent requests, and whether they failed or were refused. */
+  outcomes: Array<{ readonly at: number, readonly isFailure: boolean }>
 }
 
 /** A request that runs. */
@@ -109,7 +115,7 @@
   const lineOf = (service: string): Line => {
     const known = lines.get(service)
     if (known !== undefined) return known
-    const line: Line = { entries: [], budget: createRetryBudget(options.retries), idempotentAt: -Infinity, endedAt: [] }
+    const line: Line = { entries: [], budget: createRetryBudget(options.retries), idempotentAt: -Infinity, endedAt: [], outcomes: [] }
     lines.set(service, line)
     return line
   }
@@ -130,6 +136,16 @@
     return now - line.idempotentAt > IDEMPOTENT_MEMORY_MS ? RISKY_TRIAL_MS.onlyWay : Infinity
   }
 
+  const note = (line: Line, isFailure: boolean, now: number): void => {
+    line.outcomes.push({ at: now, isFailure })
+  }
+
+  const isFailing = (line: Line, now: number): boolean => {
+    line.outcomes = line.outcomes.filter(({ at }) => now - at <= FAILURES_WINDOW_MS)
+    const failures = line.outcomes.filter(({ isFailure }) => isFailure).length
+    return failures > SPREAD_FAILURES * line.outcomes.length + 1
+  }
+
   const choose = (wanted: PlacementRequest, candidates: readonly Candidate[], now: number): Chosen | undefined => {
     const line = lineOf(wanted.service)
     const isRetry = wanted.avoid.size > 0
@@ -137,6 +153,7 @@
       zone,
       idempotent: wanted.idempotent,
       canRetry: !isRetry && line.budget.allows(vmCount(now), now),
+      isSpread: isFailing(line, now),
       riskyTrialAfterMs: isRetry ? Infinity : riskyTrialAfterMs(line, candidates, now),
       random
     })
@@ -144,7 +161,25 @@
     return chooseSuspect(candidates)
   }
 
-  const grant = (wanted: PlacementRequest, { listing, isTrial }: Chosen, now: number): Slot => {
+  const report = (wanted: PlacementRequest, candidate: Candidate, isTrial: boolean, { result }: Observation, latencyMs: number): void => {
+    if (result === 'answered' || result === 'cancelled') return
+    const { listing: { id }, phase, load, provenAgeMs } = candidate
+    options.log.info('attempt.failed', {
+      requestId: wanted.requestId,
+      service: wanted.service,
+      target: id,
+      result,
+      idempotent: wanted.idempotent,
+      isTrial,
+      phase,
+      load,
+      provenAgeMs: Number.isFinite(provenAgeMs) ? Math.round(provenAgeMs) : -1,
+      afterMs: Math.round(latencyMs)
+    })
+  }
+
+  const grant = (wanted: PlacementRequest, { candidate, isTrial }: Chosen, now: number): Slot => {
+    const { listing } = candidate
     const entry: Running = { listing, className: wanted.class, placedAt: now }
     running.add(entry)
     targets.loads.begin(listing.id)
@@ -158,9 +193,13 @@
         isReleased = true
         running.delete(entry)
         targets.loads.end(listing.id)
-        lineOf(wanted.service).endedAt.push(endedAt)
+        const line = lineOf(wanted.service)
+        line.endedAt.push(endedAt)
+        if (observation !== undefined) note(line, observation.result !== 'answered', endedAt)
         targets.settle(listing, observation, now, endedAt)
-        if (observation !== undefined) options.observe(observation, endedAt)
+        if (observation === undefined) return serve(wanted.service, endedAt)
+        report(wanted, candidate, isTrial, observation, endedAt - now)
+        options.observe(observation, endedAt)
         serve(wanted.service, endedAt)
       }
     }
@@ -176,6 +215,7 @@
 
   const refuseBecause = (entry: Entry, line: Line, reason: string, flow: Flow): void => {
     drop(line, entry)
+    note(line, true, clock())
     entry.refuse(refusal('overloaded', reason, { retryAfterMs: returnAfterMs(line.entries.length, flow, random) }))
   }
 
@@ -225,6 +265,7 @@
     const flow = flowOf(wanted.service, wanted.class, candidates, now)
     const ahead = line.entries.filter(other => !goesBefore(entry, other)).length
     if (!shouldWait(entry, ahead, flow, now)) {
+      note(line, true, now)
       const detail = `${ahead} requests wait, which takes about ${Math.round(expectedWaitMs(ahead, flow))} ms`
       return resume(Effect.fail(refusal('overloaded', detail, { retryAfterMs: returnAfterMs(ahead, flow, random) })))
     }
--- a/tools/run-tests.ts
+++ b/tools/run-tests.ts
@@ -15,7 +15,7 @@
 import { availableParallelism } from 'node:os'
 import { join } from 'node:path'
 
-const ROOTS = ['src', 'stand-ins', 'trial', 'measure', 'tests', 'tools'] as const
+const ROOTS = ['src', 'platform', 'stand-ins', 'trial', 'measure', 'tests', 'tools'] as const
 const FILE_TIMEOUT_MS = 180_000
 const PARALLEL_FILES = Math.max(1, Math.floor(availableParallelism() / 2))
 /** Each of these tests starts a fleet of processes, which keeps about two cores busy; on few cores they would slow each other down. */
