Answers without length that are reset are not whole

Cause: Node counts an answer that ends with its connection as complete also when that is reset.

Change: such an answer is whole only when its connection ended cleanly.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -24,6 +24,8 @@
 /** Older idle connections may have gone silent. */
 const REUSE_WITHIN_MS = 3000
 const HOUSEKEEPING_MS = 250
+/** Most links are wanted by one of the two VMs only, so the other one does not dial. */
+const SECOND_DIAL_MS = 200
 /** Part of the grace for which a VM that stops goes on as before, until callers have new addresses. */
 const STAY_PART = 0.45
 /** Time at the end of the grace that is left for the end of the process. */
@@ -125,6 +127,7 @@
     // The machines share no secret; links are open to whoever reaches the ports between VMs.
     key: Buffer.from('camphorbay'),
     wanted: () => roster.linksWanted(clock()),
+    secondDialDelayMs: SECOND_DIAL_MS,
     log,
     clock
   })
--- a/src/entry/answer.ts
+++ b/src/entry/answer.ts
@@ -3,7 +3,7 @@
 import { Effect } from 'effect'
 import type { Refusal } from '../errors/index.js'
 import type { RecordedAnswer } from '../model/index.js'
-import type { Collected } from './collect.js'
+import { isWholeAnswer, type Collected } from './collect.js'
 import type { Dialect } from './dialect.js'
 import type { Exchange } from './exchange.js'
 import { fromRecord, REPLAYED, REQUEST_ID, trailerPairs } from './headers.js'
@@ -180,7 +180,7 @@
       resume(Effect.succeed(false))
     }
     const onEnd = (): void => {
-      if (!answer.complete) return onEarlyEnd()
+      if (!isWholeAnswer(answer)) return onEarlyEnd()
       cleanUp()
       exchange.setAwaited(() => 'caller')
       relay.onWhole()
--- a/src/entry/collect.ts
+++ b/src/entry/collect.ts
@@ -12,6 +12,16 @@
 /** Why the first part could not be read. */
 export type CollectFailure = 'truncated' | 'late'
 
+/**
+ * Whether an answer that ended is whole. One without length ends with its connection, and Node counts it
+ * as complete also when that was reset on the way.
+ */
+export function isWholeAnswer (answer: IncomingMessage): boolean {
+  const { 'content-length': length, 'transfer-encoding': encoding } = answer.headers
+  const endsWithConnection = length === undefined && encoding === undefined
+  return answer.complete && !(endsWithConnection && answer.socket.errored !== null)
+}
+
 /** Nothing is read ahead. */
 export const NOTHING_COLLECTED: Collected = { chunks: [], isWhole: false }
 
@@ -34,7 +44,7 @@
     }
     const breakOff = (): void => end(Effect.fail('truncated'))
     const finish = (): void => {
-      if (answer.complete) end(Effect.succeed({ chunks, isWhole: true }))
+      if (isWholeAnswer(answer)) end(Effect.succeed({ chunks, isWhole: true }))
       else breakOff()
     }
     const keep = (chunk: Buffer): void => {
--- a/src/following/following.ts
+++ b/src/following/following.ts
@@ -14,7 +14,7 @@
 /** Changes that follow each other within this time come with one call. */
 const MERGE_MS = 40
 /** Time between two looks at whether this VM has to read. */
-const IDLE_CHECK_MS = 50
+const IDLE_CHECK_MS = 120
 /** Time between two requests for the same section. */
 const ASK_INTERVAL_MS = 150
 const FIRST_PAUSE_MS = 150
--- a/src/peer/dialler.ts
+++ b/src/peer/dialler.ts
@@ -22,16 +22,16 @@
  * Creates a dialler without attempts.
  *
  * The VM with the lower name dials at once, and the other one only when there
- * was no link for 2 s, so that two VMs rarely dial each other at the same time.
+ * was no link for `secondDialDelayMs`, so that two VMs rarely dial each other at the same time.
  *
  * @param random yields numbers from 0 to below 1; the jitter keeps VMs that lost
  *   their links together from dialling together
  */
-export function createDialler (self: string, random: () => number): Dialler {
+export function createDialler (self: string, random: () => number, secondDialDelayMs = SECOND_DIALLER_DELAY_MS): Dialler {
   const attempts = new Map<string, Attempt>()
 
   const first = (vm: string, now: number): Attempt =>
-    ({ failures: 0, active: false, dueAt: self < vm ? now : now + SECOND_DIALLER_DELAY_MS })
+    ({ failures: 0, active: false, dueAt: self < vm ? now : now + secondDialDelayMs })
 
   const backoffMs = (failures: number): number => {
     const limit = Math.min(BACKOFF_LIMIT_MS, BACKOFF_FIRST_MS * 2 ** (failures - 1))
--- a/src/peer/mesh.ts
+++ b/src/peer/mesh.ts
@@ -54,6 +54,8 @@
   readonly clock: Clock
   /** Whether a sender is not older than the latest known incarnation. Default: yes. */
   readonly isCurrent?: (peer: Peer) => boolean
+  /** Time after which the VM with the higher name dials, in ms. Default: 2000, which fits where both VMs want the link. */
+  readonly secondDialDelayMs?: number
   /** Numbers from 0 to below 1, for jitter. Default: `Math.random`. */
   readonly random?: () => number
 }
@@ -71,7 +73,7 @@
   const traffic = createTraffic()
   const dispatch = createDispatch(log)
   const links = createLinks(self.name)
-  const dialler = createDialler(self.name, options.random ?? Math.random)
+  const dialler = createDialler(self.name, options.random ?? Math.random, options.secondDialDelayMs)
   const observers: LinkObserver[] = []
   const fibers = new Set<Fiber.Fiber<unknown, unknown>>()
   const unwantedSince = new Map<Link, number>()
--- a/src/placing/placing.ts
+++ b/src/placing/placing.ts
@@ -10,8 +10,9 @@
 import { createRetryBudget, type RetryAllowance, type RetryBudget } from './retry-budget.js'
 import { createTargets, type Targets } from './targets.js'
 
-/** Time between two looks at those who wait. */
+/** Time between two looks at those who wait, and while nothing runs. */
 const SWEEP_MS = 25
+const IDLE_SWEEP_MS = 200
 /** Time between two messages about the own load. */
 const SHARE_LOADS_MS = 100
 /** An unchanged load is told again after this time, before others forget it. */
@@ -305,7 +306,7 @@
     usualMs: (service, className) => targets.latenciesOf(service).usualMs(className),
     maintain: Effect.forever(Effect.suspend(() => {
       sweep(clock())
-      return Effect.sleep(SWEEP_MS)
+      return Effect.sleep(running.size > 0 ? SWEEP_MS : IDLE_SWEEP_MS)
     })),
     targets,
     waiting: service => lines.get(service)?.entries.length ?? 0
--- a/src/roster/roster.ts
+++ b/src/roster/roster.ts
@@ -20,7 +20,7 @@
   readonly learn: (vms: readonly VM[]) => void
   readonly known: () => readonly VM[]
   readonly linked: () => readonly LinkedVM[]
-  /** VMs to keep links to: those of the own zone, and the first ones of other zones if this VM serves. */
+  /** VMs to keep links to: the first ones of the own zone that are alive, and of other zones if this VM serves. */
   readonly linksWanted: (now: number) => readonly VM[]
   /** VMs that callers of this VM's zone should use; VMs of other zones when there is none. */
   readonly serving: (now: number) => readonly VM[]
@@ -48,8 +48,10 @@
   readonly clock: Clock
 }
 
-/** Serving VMs of other zones that are dialled beyond those that serve when all are alive. */
+/** VMs of a zone that are dialled beyond those that serve. */
 const SPARE_LINKS = 1
+/** A VM that was dialled for this time in vain is replaced by the next one, in ms. */
+const ABSENT_MS = 1500
 
 /**
  * Creates a roster that knows this VM only.
@@ -114,19 +116,41 @@
 
   const isServing = (now: number): boolean => serving(now).some(({ name }) => name === self.name)
 
-  const farVMs = (): readonly VM[] => {
-    const zones = new Set([...known.values()].map(({ place }) => place).filter(place => place !== self.place))
-    return [...zones].flatMap(zone =>
-      inRank([...known.values()].filter(({ place }) => place === zone)).slice(0, servingPerZone + SPARE_LINKS))
+  /** Since when VMs were wanted without a link. */
+  const absentSince = new Map<string, number>()
+
+  const isHopeful = (name: string, now: number): boolean => {
+    if (linked.has(name)) {
+      absentSince.delete(name)
+      return true
+    }
+    const since = absentSince.get(name) ?? now
+    absentSince.set(name, since)
+    return now - since <= ABSENT_MS
+  }
+
+  /** The first VMs of a zone, in the place of those that do not answer also the next ones. */
+  const firstOf = (zone: Place, now: number): readonly VM[] => {
+    const chosen: VM[] = []
+    let count = 0
+    for (const vm of inRank([...known.values()].filter(({ name, place }) => place === zone && name !== self.name))) {
+      if (count >= servingPerZone + SPARE_LINKS) break
+      chosen.push(vm)
+      if (isHopeful(vm.name, now)) count++
+    }
+    return chosen
   }
 
+  const farZones = (): readonly Place[] =>
+    [...new Set([...known.values()].map(({ place }) => place))].filter(place => place !== self.place)
+
   return {
     learn: vms => { for (const vm of vms) if (!known.has(vm.name)) known.set(vm.name, vm) },
     known: () => [...known.values()],
     linked: () => [...linked.values()],
     linksWanted: now => {
-      const near = [...known.values()].filter(({ name, place }) => place === self.place && name !== self.name)
-      return isServing(now) ? [...near, ...farVMs()] : near
+      const near = firstOf(self.place, now)
+      return isServing(now) ? [...near, ...farZones().flatMap(zone => firstOf(zone, now))] : near
     },
     serving,
     isServing,
