--- a/src/catalog/catalog.test.ts
+++ b/src/catalog/catalog.test.ts
@@ -71,7 +71,7 @@
     name: 'an entry that lapsed in an outage keeps its target until it could be back',
     run: catalog => {
       catalog.apply(allListings(5, listed(1, one), listed(2, two)), 0)
-      catalog.noteOutage(1000)
+      catalog.noteReturn(2000)
       catalog.apply(allListings(9, listed(2, two)), 2000)
       catalog.sweep(3900)
     },
@@ -81,7 +81,7 @@
     name: 'an entry that lapsed in an outage and does not come back is gone',
     run: catalog => {
       catalog.apply(allListings(5, listed(1, one), listed(2, two)), 0)
-      catalog.noteOutage(1000)
+      catalog.noteReturn(2000)
       catalog.apply(allListings(9, listed(2, two)), 2000)
       catalog.sweep(4000)
     },
@@ -91,7 +91,7 @@
     name: 'an entry that is back after an outage stays',
     run: catalog => {
       catalog.apply(allListings(5, listed(1, one), listed(2, two)), 0)
-      catalog.noteOutage(1000)
+      catalog.noteReturn(2000)
       catalog.apply(allListings(9, listed(2, two)), 2000)
       catalog.apply(listingsAfter(9, 10, listed(10, one)), 3000)
       catalog.sweep(9000)
@@ -99,11 +99,11 @@
     usable: ['t-1', 't-2']
   },
   {
-    name: 'an entry that disappears long after an outage is gone at once',
+    name: 'an entry that disappears 2 s after an outage is gone at once',
     run: catalog => {
       catalog.apply(allListings(5, listed(1, one), listed(2, two)), 0)
-      catalog.noteOutage(1000)
-      catalog.apply(listingsAfter(5, 9, withdrawn(9, 't-1')), 20_000)
+      catalog.noteReturn(2000)
+      catalog.apply(listingsAfter(5, 9, withdrawn(9, 't-1')), 4000)
     },
     usable: ['t-2']
   }
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -4,12 +4,10 @@
 import { createRuleTable, type RuleTable } from './rule-table.js'
 
 /**
- * How long a target stays in use after its entry disappeared in or shortly after an outage of the
- * store. Such entries may have lapsed although the target is alive; it registers again within 2 s.
+ * Entries that are missing within this time after an outage of the store may have lapsed although their
+ * targets are alive; those register again within it. What disappears later is gone at once.
  */
-const LAPSED_ENTRY_MS = 2000
-/** Entries that disappear within this time after an outage may have lapsed in it. */
-const OUTAGE_SHADOW_MS = 6000
+const RETURN_GRACE_MS = 2000
 
 /** The catalog of one VM. Times are in ms on the VM's steady clock. */
 export interface Catalog {
@@ -20,8 +18,8 @@
   readonly apply: (batch: Batch, now: number) => boolean
   /** Ends the grace of entries that disappeared in an outage of the store. */
   readonly sweep: (now: number) => void
-  /** Records that the store could not be read at this time. */
-  readonly noteOutage: (now: number) => void
+  /** Records that the store is back after an outage. */
+  readonly noteReturn: (now: number) => void
   readonly ruleset: () => Ruleset | undefined
   readonly rules: () => RuleTable
   /** Targets of a service that may get work. */
@@ -43,7 +41,7 @@
   /** Entries that disappeared, with the time at which their target leaves use. */
   readonly lapsing: Map<string, number>
   readonly upTo: Record<Section, number>
-  outageAt: number
+  returnedAt: number
   rules: RuleTable
   byService: Map<string, readonly Listing[]>
 }
@@ -73,7 +71,7 @@
     listings: new Map(),
     lapsing: new Map(),
     upTo: { rulesets: 0, listings: 0 },
-    outageAt: -Infinity,
+    returnedAt: -Infinity,
     rules: createRuleTable([]),
     byService: new Map()
   }
@@ -96,14 +94,14 @@
     log.info('target.gone', { target: id, reason })
   }
 
-  /** A target whose entry may have lapsed in an outage stays for a moment, so that it can register again. */
+  /** A target whose entry may have lapsed in an outage stays for the rest of the grace, so that it can register again. */
   const withdraw = (id: string, now: number): boolean => {
     if (!state.listings.has(id)) return false
-    if (now - state.outageAt > OUTAGE_SHADOW_MS) {
+    if (now - state.returnedAt >= RETURN_GRACE_MS) {
       remove(id, 'its entry was removed')
       return true
     }
-    if (!state.lapsing.has(id)) state.lapsing.set(id, now + LAPSED_ENTRY_MS)
+    state.lapsing.set(id, state.returnedAt + RETURN_GRACE_MS)
     return false
   }
 
@@ -164,7 +162,7 @@
   return {
     apply,
     sweep,
-    noteOutage: now => { state.outageAt = now },
+    noteReturn: now => { state.returnedAt = now },
     ruleset: () => state.ruleset?.entry.kind === 'ruleset' ? state.ruleset.entry.ruleset : undefined,
     rules: () => state.rules,
     usable: service => state.byService.get(service) ?? [],
--- a/src/following/following.ts
+++ b/src/following/following.ts
@@ -13,6 +13,8 @@
 const FEED_WAIT_MS = 1000
 /** Changes that follow each other within this time come with one call. */
 const MERGE_MS = 40
+/** Time without a confirmation from anyone that shows an outage of the store. */
+const OUTAGE_MS = 2 * TAKE_OVER_MS
 /** Time between two looks at whether this VM has to read. */
 const IDLE_CHECK_MS = 120
 /** Time between two requests for the same section. */
@@ -50,6 +52,8 @@
 interface Track {
   readonly section: Section
   isReading: boolean
+  /** Whether the next call has to answer at once, because nobody confirmed for long what is known. */
+  isHasty: boolean
   /** Whether the section has to be read whole. */
   needsAll: boolean
   contactAt: number
@@ -68,7 +72,7 @@
   const { store, catalog, mesh, log, clock, place } = options
   const calls = new Map<string, number>()
   const createTrack = (section: Section): Track =>
-    ({ section, isReading: false, needsAll: true, contactAt: -Infinity, failures: 0, askedAt: -Infinity })
+    ({ section, isReading: false, isHasty: false, needsAll: true, contactAt: -Infinity, failures: 0, askedAt: -Infinity })
   const tracks: Readonly<Record<Section, Track>> = { rulesets: createTrack('rulesets'), listings: createTrack('listings') }
   /** When each section was last confirmed, by the store or a peer. */
   const confirmedAt: Record<Section, number> = { rulesets: -Infinity, listings: -Infinity }
@@ -86,6 +90,14 @@
 
   const confirm = (section: Section, at: number): void => { confirmedAt[section] = Math.max(confirmedAt[section], at) }
 
+  /** Without any confirmation for longer than the next VM needs to take over, the store was away. */
+  const noteReturn = (section: Section, now: number): void => {
+    const ageMs = now - confirmedAt[section]
+    if (ageMs < OUTAGE_MS || !Number.isFinite(ageMs)) return
+    log.info('store.returned', { section, ageMs: Math.round(ageMs) })
+    catalog.noteReturn(now)
+  }
+
   const count = (section: Section, outcome: string): void => {
     const key = `${section} ${outcome}`
     calls.set(key, (calls.get(key) ?? 0) + 1)
@@ -97,7 +109,9 @@
     count(section, 'answered')
     if (track.failures > 0) log.info('store.regained', { section, failures: track.failures })
     track.failures = 0
+    track.isHasty = false
     track.contactAt = now
+    noteReturn(section, now)
     track.needsAll = !catalog.apply(batch, now)
     confirm(section, now)
     if (batch.changes.length > 0 || batch.after === undefined) passOn(batch)
@@ -105,7 +119,6 @@
   }
 
   const fail = (track: Track, { kind, detail }: StoreFailure): Effect.Effect<void> => Effect.suspend(() => {
-    const now = clock()
     count(track.section, kind)
     track.needsAll ||= kind === 'history-lost'
     if (kind === 'history-lost') {
@@ -113,15 +126,15 @@
       return Effect.void
     }
     track.failures++
+    track.isHasty = true
     if (track.failures === 1) log.warn('store.lost', { section: track.section, detail })
-    if (now - track.contactAt > TAKE_OVER_MS) catalog.noteOutage(now)
     const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(track.failures - 1, 4))
     return Effect.sleep(pauseMs * (0.5 + options.random()))
   })
 
   const readOnce = (track: Track): Effect.Effect<void> => {
     const { section } = track
-    const batch = track.needsAll ? store.read(section) : store.changes(section, catalog.upTo(section), FEED_WAIT_MS)
+    const batch = track.needsAll ? store.read(section) : store.changes(section, catalog.upTo(section), track.isHasty ? 0 : FEED_WAIT_MS)
     return batch.pipe(
       Effect.tap(found => Effect.sync(() => take(track, found))),
       Effect.flatMap(found => found.changes.length > 0 && found.after !== undefined ? Effect.sleep(MERGE_MS) : Effect.void),
@@ -139,7 +152,10 @@
     })
     if (reads !== track.isReading) log.info(reads ? 'reader.started' : 'reader.ended', { section: track.section, rank })
     // What a peer passed on meanwhile is as good as an own read.
-    if (reads && !track.isReading) track.needsAll = catalog.upTo(track.section) === 0
+    if (reads && !track.isReading) {
+      track.needsAll = catalog.upTo(track.section) === 0
+      track.isHasty = true
+    }
     track.isReading = reads
     return reads
   }
@@ -156,6 +172,7 @@
 
   mesh.subscribe(batchChannel, (from, batch) => {
     const now = clock()
+    noteReturn(batch.section, now)
     if (!catalog.apply(batch, now)) ask(from.vm, batch.section, now)
   })
   mesh.subscribe(wantedChannel, (from, section) => { mesh.send(from.vm, batchChannel, catalog.snapshot(section)) })
