Tell a reset connection from a closed one by its peer address

A target whose address answers for another one is not asked again until 2.5 s later or its entry changes.

--- a/src/entry/collect.ts
+++ b/src/entry/collect.ts
@@ -1,6 +1,7 @@
 /** Reads the first part of a target's answer, so that an answer that breaks off early can be replaced. */
 import type { IncomingMessage } from 'node:http'
 import { Effect } from 'effect'
+import { wasClosedByPeer } from './connection-end.js'
 
 /** What was read of an answer's body. */
 export interface Collected {
@@ -12,6 +13,13 @@
 /** Why the first part could not be read. */
 export type CollectFailure = 'truncated' | 'late'
 
+/** Statuses of answers that never have a body. */
+const BODILESS: ReadonlySet<number> = new Set([204, 304])
+
+function hasNoBody ({ statusCode = 0 }: IncomingMessage): boolean {
+  return BODILESS.has(statusCode)
+}
+
 /**
  * Whether an answer that ended is whole. One without length ends with its connection, and Node counts it
  * as complete also when that was reset on the way.
@@ -19,7 +27,7 @@
 export function isWholeAnswer (answer: IncomingMessage): boolean {
   const { 'content-length': length, 'transfer-encoding': encoding } = answer.headers
   const endsWithConnection = length === undefined && encoding === undefined
-  return answer.complete && !(endsWithConnection && answer.socket.errored !== null)
+  return answer.complete && (!endsWithConnection || hasNoBody(answer) || wasClosedByPeer(answer.socket))
 }
 
 /** Nothing is read ahead. */
--- a/src/entry/pool.ts
+++ b/src/entry/pool.ts
@@ -2,6 +2,7 @@
 import { connect, type Socket } from 'node:net'
 import { Effect } from 'effect'
 import type { Target } from '../model/index.js'
+import { watchEnd } from './connection-end.js'
 
 /** A connection to a target, in use by one exchange at a time. */
 export interface Connection {
@@ -86,6 +87,7 @@
 function open (target: Target, timeoutMs: number): Effect.Effect<Socket, NoConnection> {
   return Effect.callback(resume => {
     const socket = connect({ host: target.address, port: target.port, noDelay: true })
+    watchEnd(socket)
     // A failure between two exchanges must not end the process; the next user sees a destroyed socket.
     socket.on('error', () => {})
     const fail = (detail: string): void => {
--- a/src/following/following.ts
+++ b/src/following/following.ts
@@ -16,7 +16,7 @@
 /** Time without a confirmation from anyone that shows an outage of the store. */
 const OUTAGE_MS = 2 * TAKE_OVER_MS
 /** Time between two looks at whether this VM has to read. */
-const IDLE_CHECK_MS = 120
+const IDLE_CHECK_MS = 200
 /** Time between two requests for the same section. */
 const ASK_INTERVAL_MS = 150
 const FIRST_PAUSE_MS = 150
--- a/src/placing/placing.ts
+++ b/src/placing/placing.ts
@@ -12,7 +12,7 @@
 
 /** Time between two looks at those who wait, and while nothing runs. */
 const SWEEP_MS = 25
-const IDLE_SWEEP_MS = 200
+const IDLE_SWEEP_MS = 400
 /** Time between two messages about the own load. */
 const SHARE_LOADS_MS = 100
 /** An unchanged load is told again after this time, before others forget it. */
--- a/src/placing/targets.ts
+++ b/src/placing/targets.ts
@@ -15,6 +15,8 @@
 const PATH_HOLDS_MS = [400, 800, 1600, 2500] as const
 /** Holds after a target said that it is full. */
 const FULL_HOLDS_MS = [100, 200, 400] as const
+/** Holds after another target answered at the address: the entry is outdated until it changes. */
+const ADDRESS_HOLDS_MS = [2500, 5000, 10_000] as const
 /** Two answers that break off within this time are no accident, in ms. */
 const BROKEN_PAIR_MS = 2000
 /** Time between the VMs that try a suspect target, in ms. */
@@ -60,7 +62,8 @@
   /** Failed connections: they say something about the path from this VM. */
   const paths = createStandings(PATH_HOLDS_MS)
   const rooms = createStandings(FULL_HOLDS_MS)
-  const all: readonly Standings[] = [answers, paths, rooms]
+  const addresses = createStandings(ADDRESS_HOLDS_MS)
+  const all: readonly Standings[] = [answers, paths, rooms, addresses]
   const loads = createLoads()
   const latencies = new Map<string, Latencies>()
   const trials = new Set<string>()
@@ -101,6 +104,7 @@
     latenciesOf(listing.service).record(observation.class, listing.id, observation.latencyMs, now)
     paths.succeed(listing.id, placedAt, now)
     rooms.succeed(listing.id, placedAt, now)
+    addresses.succeed(listing.id, placedAt, now)
     if (!answers.succeed(listing.id, placedAt, now)) return
     log.info('target.sound', { target: listing.id, requestId: observation.requestId })
     tell(listing, false)
@@ -115,8 +119,11 @@
       case 'truncated': return recordBroken(listing, requestId, now)
       case 'timeout':
       case 'unreachable':
-      case 'silent':
-      case 'misdirected': return suspectPath(listing, result, requestId, now)
+      case 'silent': return suspectPath(listing, result, requestId, now)
+      case 'misdirected':
+        addresses.fail(listing.id, now)
+        log.info('target.misdirected', { target: listing.id, requestId })
+        return
       case 'shed':
       case 'draining': rooms.fail(listing.id, now); return
       case 'cancelled': return judgeRunning(listing, observation.class, placedAt, now)
