Keep connections whose answer was read ahead, and fill a zone before another one

The connection of an answer that had been read whole was waited for in vain when another attempt replaced it, and full packing put targets of other zones before the last slots of the own one.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -100,7 +100,8 @@
 /** Keeps the connection of an exchange that ended cleanly in both directions. */
 function keepConnection ({ pools, clock }: Attempted, connection: Connection, { answer, outgoing }: Answered): void {
   if (!answer.complete || !outgoing.writableFinished || !outgoing.shouldKeepAlive) return pools.discard(connection)
-  // Node detaches from the connection before this event.
+  // Node detaches from the connection before this event, which may lie behind an answer that was read ahead.
+  if (outgoing.closed) return pools.release(connection, clock())
   outgoing.once('close', () => pools.release(connection, clock()))
 }
 
@@ -232,6 +233,7 @@
   const dropConnection = (result: Result | undefined): void => {
     const isUnderWay = result === 'cancelled' || result === 'truncated'
     if (connection === undefined || answered === undefined || isUnderWay) return freeConnection(result)
+    if (answered.answer.readableEnded) return keepConnection(shared, connection, answered)
     discardAnswer(shared, connection, answered)
   }
 
--- a/src/entry/collect.ts
+++ b/src/entry/collect.ts
@@ -1,5 +1,5 @@
 /** Reads the first part of a target's answer, so that an answer that breaks off early can be replaced. */
-import type { IncomingMessage } from 'node:http'
+import type { ClientRequest, IncomingMessage } from 'node:http'
 import { Effect } from 'effect'
 import { wasClosedByPeer } from './connection-end.js'
 
@@ -16,8 +16,9 @@
 /** Statuses of answers that never have a body. */
 const BODILESS: ReadonlySet<number> = new Set([204, 304])
 
-function hasNoBody ({ statusCode = 0 }: IncomingMessage): boolean {
-  return BODILESS.has(statusCode)
+function hasNoBody (answer: IncomingMessage): boolean {
+  const { req } = answer as { readonly req?: ClientRequest }
+  return BODILESS.has(answer.statusCode ?? 0) || req?.method === 'HEAD'
 }
 
 /**
--- a/src/placing/choose.ts
+++ b/src/placing/choose.ts
@@ -55,8 +55,8 @@
 const UNPROVEN_MS = 1500
 /** Part of a target's slots up to which requests are packed on it. */
 const PACKED_PART = 0.75
-/** Keeps targets above that part behind all others. */
-const ABOVE_PACKED = 2
+/** Keeps targets above that part behind others of the same zone, and before those of other zones. */
+const ABOVE_PACKED = 0.15
 /** Weight of the load of a target below that part. */
 const PACKED_WEIGHT = 0.5
 /** Breaks ties, so that VMs do not choose alike. */
