Try suspect targets sooner, leave no slot idle while requests wait, use more VMs while they are cold

Change: holds of 0.5 s in place of 1 s; a failure within 250 ms of a success leads to a trial at once; the next VM tries 150 ms later in place of 300. While requests wait, a target gets one more than its slots. A VM that has been ready for less than 8 s counts as 0.35 of one.

--- a/src/placing/choose.test.ts
+++ b/src/placing/choose.test.ts
@@ -21,7 +21,7 @@
   }
 }
 
-const once: Choice = { zone: 'riga-a', idempotent: false, canRetry: true, riskyTrialAfterMs: Infinity, isSpread: false, random: () => 0.5 }
+const once: Choice = { zone: 'riga-a', idempotent: false, canRetry: true, riskyTrialAfterMs: Infinity, isSpread: false, isWaiting: false, random: () => 0.5 }
 const safe: Choice = { ...once, idempotent: true }
 const spread: Choice = { ...once, isSpread: true }
 const due = (id: string, over: Partial<Form> = {}): Form => ({ id, phase: 'due', overdueMs: 10, ...over })
@@ -50,6 +50,8 @@
   { name: 'the own zone comes first', choice: spread, among: [{ id: 'a', zone: 'riga-b' }, { id: 'b', load: 1 }], chosen: 'b' },
   { name: 'another zone is used when the own one is full', choice: spread, among: [{ id: 'a', zone: 'riga-b' }, { id: 'b', load: 3 }], chosen: 'a' },
   { name: 'no target gets more than its slots', choice: spread, among: [{ id: 'a', load: 4 }], chosen: undefined },
+  { name: 'while requests wait, a full target gets one more', choice: { ...spread, isWaiting: true }, among: [{ id: 'a', load: 4 }], chosen: 'a' },
+  { name: 'and not two', choice: { ...spread, isWaiting: true }, among: [{ id: 'a', load: 5 }], chosen: undefined },
   { name: 'a slow target gets less', choice: spread, among: [{ id: 'a', slowness: 4 }, { id: 'b', load: 1 }], chosen: 'b' }
 ]
 
--- a/src/placing/choose.ts
+++ b/src/placing/choose.ts
@@ -37,6 +37,8 @@
   readonly riskyTrialAfterMs: number
   /** Whether requests go to all sound targets, also those that must not run twice. */
   readonly isSpread: boolean
+  /** Whether requests wait: then a target gets one more than its slots, so that none of them idles in between. */
+  readonly isWaiting: boolean
   /** Uniform in [0, 1). */
   readonly random: () => number
 }
@@ -111,7 +113,8 @@
   const due = candidates.filter(candidate => isTrialDue(candidate, trialAfterMs))
   const trial = best(due, ({ overdueMs }) => -overdueMs)
   if (trial !== undefined) return { candidate: trial, isTrial: true }
-  const free = candidates.filter(({ phase, load, listing }) => phase === 'sound' && load < listing.slots)
+  const extra = choice.isWaiting ? 1 : 0
+  const free = candidates.filter(({ phase, load, listing }) => phase === 'sound' && load < listing.slots + extra)
   const sound = best(free, candidate => scoreOf(candidate, choice))
   return sound === undefined ? undefined : { candidate: sound, isTrial: false }
 }
--- a/src/placing/placing.ts
+++ b/src/placing/placing.ts
@@ -155,6 +155,7 @@
       idempotent: wanted.idempotent,
       canRetry: !isRetry && line.budget.allows(vmCount(now), now),
       isSpread: isFailing(line, now),
+      isWaiting: line.entries.length > 0,
       riskyTrialAfterMs: isRetry ? Infinity : riskyTrialAfterMs(line, candidates, now),
       random
     })
--- a/src/placing/standing.test.ts
+++ b/src/placing/standing.test.ts
@@ -51,6 +51,22 @@
     },
     phases: [[1019, 'held'], [1020, 'due']]
   },
+  {
+    name: 'a failure just after a success leads to a trial at once',
+    run: standings => {
+      standings.succeed('t', 0, 100)
+      standings.fail('t', 300)
+    },
+    phases: [[300, 'due']]
+  },
+  {
+    name: 'a failure long after a success holds the target back',
+    run: standings => {
+      standings.succeed('t', 0, 100)
+      standings.fail('t', 400)
+    },
+    phases: [[400, 'held'], [1400, 'due']]
+  },
   {
     name: 'a replaced target starts anew',
     run: standings => {
--- a/src/placing/standing.ts
+++ b/src/placing/standing.ts
@@ -2,8 +2,9 @@
  * How targets stand: sound, held back after a failure, or due for a trial.
  *
  * Load this answers: at any time a third of the targets may fail most of their requests for seconds,
- * while most failures that are seen are the first sign of such an episode. So one failure is enough to
- * hold a target back, and one success that began later is enough to use it again.
+ * while a sound one fails about one request of a hundred. One failure is enough to doubt a target, and one
+ * success that began later is enough to use it again. A target that succeeded just before it failed is
+ * more likely to have failed by chance, so it is due for a trial at once.
  */
 
 /** Whether a target may get work. */
@@ -17,6 +18,9 @@
 /** Time for which a target is held back, by the number of failed trials before. */
 export type Holds = readonly [number, ...number[]]
 
+/** A first failure so soon after a success is no reason to hold the target back, in ms. */
+const RECENTLY_PROVEN_MS = 250
+
 /** What is known of a target that failed. */
 interface Suspicion {
   readonly failedAt: number
@@ -80,7 +84,9 @@
       const known = suspicions.get(target)
       // Requests that ran together fail together; only a failed trial says that the episode goes on.
       const failedTrials = phase === 'due' ? (known?.failedTrials ?? 0) + 1 : known?.failedTrials ?? 0
-      suspicions.set(target, { failedAt: now, heldUntil: now + holdMs(failedTrials), failedTrials })
+      const isByChance = phase === 'sound' && now - (proven.get(target) ?? -Infinity) <= RECENTLY_PROVEN_MS
+      const heldUntil = isByChance ? now : Math.max(known?.heldUntil ?? now, now + holdMs(failedTrials))
+      suspicions.set(target, { failedAt: now, heldUntil, failedTrials })
       return phase !== 'held'
     },
     succeed: (target, startedAt, now) => {
--- a/src/placing/targets.ts
+++ b/src/placing/targets.ts
@@ -10,7 +10,7 @@
 import { createStandings, type Phase, type Standings } from './standing.js'
 
 /** Holds after a failed answer; episodes of a target last some seconds. */
-const FAILURE_HOLDS_MS = [1000, 1500, 2000] as const
+const FAILURE_HOLDS_MS = [500, 700, 1000] as const
 /** Holds after a failed connection; only this VM's path may be affected. */
 const PATH_HOLDS_MS = [400, 800, 1600, 2500] as const
 /** Holds after a target said that it is full. */
@@ -20,7 +20,7 @@
 /** Two answers that break off within this time are no accident, in ms. */
 const BROKEN_PAIR_MS = 2000
 /** Time between the VMs that try a suspect target, in ms. */
-const TRIAL_STEP_MS = 300
+const TRIAL_STEP_MS = 150
 /** A request that runs this many times longer than usual makes its target suspect before it ends. */
 const OVERDUE_FACTOR = 6
 const OVERDUE_MIN_MS = 1000
--- a/src/roster/serving.ts
+++ b/src/roster/serving.ts
@@ -9,8 +9,10 @@
   readonly readyMs: number
 }
 
-/** A VM that became ready later than this is used only where others are missing: its code still warms up. */
-const WARM_MS = 2000
+/** Time after which the code of a VM is warm, in ms. */
+const WARM_MS = 8000
+/** What a VM can serve before, in relation to a warm one. */
+const COLD_PART = 0.35
 
 /** The order in which the VMs of a zone are used; it does not depend on the other VMs. */
 export function rankOf (vm: VM): number {
@@ -24,9 +26,10 @@
 
 /**
  * Chooses the VMs that serve the callers of a zone: few, so that each of them sees a large part of what
- * the targets do, and the same ones at every VM that knows the same candidates.
+ * the targets do, and the same ones at every VM that knows the same candidates. Warm ones come first. When
+ * most VMs started again, more of them serve, since their code is slow at first.
  *
- * @param count VMs to choose
+ * @param count warm VMs that can serve the zone
  *
  * @example
  * chooseServing(candidates, 3).map(({ name }) => name)
@@ -34,5 +37,6 @@
 export function chooseServing (candidates: readonly Candidate[], count: number): readonly VM[] {
   const warm = candidates.filter(({ readyMs }) => readyMs >= WARM_MS).map(({ vm }) => vm)
   const cold = candidates.filter(({ readyMs }) => readyMs < WARM_MS).map(({ vm }) => vm)
-  return [...inRank(warm), ...inRank(cold)].slice(0, count)
+  const coldNeeded = Math.ceil(Math.max(0, count - warm.length) / COLD_PART)
+  return [...inRank(warm).slice(0, count), ...inRank(cold).slice(0, coldNeeded)]
 }
