--- a/src/daemon/instruments.ts
+++ b/src/daemon/instruments.ts
@@ -1,6 +1,6 @@
 /** Metrics and recent requests of a VM. */
 import type { FinishedRequest } from '../entry/index.js'
-import { createMetrics, type Sample } from '../metrics/index.js'
+import { createMetrics, createTrafficCounters, type Sample } from '../metrics/index.js'
 import type { Clock, Observation } from '../model/index.js'
 import type { RecentRequests } from '../operators/index.js'
 import type { Settings } from '../settings/index.js'
@@ -25,17 +25,6 @@
   readonly wallClock?: () => number
 }
 
-const NONE = 'none'
-
-const requestsTotal = {
-  name: 'camphorbay_requests_total', help: 'Finished requests by how they ended.', labels: ['service', 'class', 'ending']
-}
-const refusalsTotal = {
-  name: 'camphorbay_refusals_total', help: 'Refused requests by kind and run state.', labels: ['service', 'kind', 'run']
-}
-const attemptsTotal = {
-  name: 'camphorbay_attempts_total', help: 'Attempts at targets by result.', labels: ['service', 'target', 'result']
-}
 const fleetGauge = { name: 'camphorbay_fleet', help: 'Values of the fleet as this VM sees them.', labels: ['value'] }
 const entryGauge = { name: 'camphorbay_entry', help: 'Requests in flight and open connections.', labels: ['value'] }
 
@@ -43,9 +32,7 @@
 export function createInstruments (options: InstrumentsOptions): Instruments {
   const { fleet, recent, clock, wallClock = Date.now } = options
   const metrics = createMetrics()
-  const requests = metrics.counter(requestsTotal)
-  const refusals = metrics.counter(refusalsTotal)
-  const attempts = metrics.counter(attemptsTotal)
+  const counters = createTrafficCounters(metrics)
 
   metrics.gauge(fleetGauge, () => {
     const now = clock()
@@ -64,18 +51,10 @@
 
   return {
     finished: request => {
-      const { service = NONE, class: className = NONE, ending, kind, run, caller, durationMs } = request
-      requests.add({ service, class: className, ending })
-      if (kind !== undefined) {
-        refusals.add({ service, kind, run })
-        recent.add({ ...request, at: wallClock() })
-      }
-      if (ending === 'answered') metrics.recordRequest({ service, class: className, tenant: caller, latencyMs: durationMs })
-    },
-    observed: ({ service, target, result, latencyMs }) => {
-      attempts.add({ service, target, result })
-      if (result === 'answered') metrics.recordAttempt({ service, target, latencyMs })
+      counters.finished(request)
+      if (request.kind !== undefined) recent.add({ ...request, at: wallClock() })
     },
+    observed: counters.observed,
     text: serving => {
       const { requestsInFlight, callerConnections, targetConnections } = serving.entry.state()
       metrics.gauge(entryGauge, () => [
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -1,7 +1,7 @@
 /** A VM of a fleet that keeps its configuration and its targets in a store. */
 import { Effect, Fiber } from 'effect'
 import { createBranches, createCatalog, type Catalog } from '../catalog/index.js'
-import { createEntry, type Dialect, type Entry, type FinishedRequest, type Limits } from '../entry/index.js'
+import { createEntry, type Dialect, type Entry, type Limits } from '../entry/index.js'
 import { createFollowing, type Following } from '../following/index.js'
 import type { Log } from '../log/index.js'
 import type { Clock } from '../model/index.js'
@@ -11,10 +11,12 @@
 import { createRoster, type Roster, type Status } from '../roster/index.js'
 import type { Store } from '../store/index.js'
 import { jsonAnswer, NOT_FOUND, openEndpoint, type OpenFailure, type Responder } from './http-endpoint.js'
+import { createInstruments } from './instruments.js'
 import { join, VMS_PATH } from './joining.js'
 import { resolveRequest } from './routes.js'
 import type { EdgeSettings } from './settings.js'
 
+const METRICS_PATH = '/metrics'
 /** VMs of a zone that callers are told to use. */
 const SERVING_PER_ZONE = 3
 /** Part of an answer that is read before it is sent on; larger ones are streamed. */
@@ -60,11 +62,17 @@
 
 /** A running VM. */
 export interface Edge {
+  /**
+   * Takes changed settings: seeds, retries, the time for which addresses are kept, and the grace. Other
+   * changes need a restart, which the log says.
+   */
+  readonly reload: (settings: EdgeSettings) => void
   /** Graceful shutdown; ends when the last request is answered, at most the grace after the call. */
   readonly stop: Effect.Effect<void>
 }
 
-interface Parts {
+/** What a VM consists of. */
+export interface EdgeParts {
   readonly catalog: Catalog
   readonly mesh: PeerMesh
   readonly roster: Roster
@@ -74,7 +82,7 @@
 }
 
 /** Limits on callers as the ruleset in force has them. */
-function createLimits (catalog: Catalog, { graceMs }: EdgeSettings): Limits {
+function createLimits (catalog: Catalog, settings: () => EdgeSettings): Limits {
   const current = (): typeof FIRST_LIMITS | NonNullable<ReturnType<Catalog['ruleset']>>['limits'] => catalog.ruleset()?.limits ?? FIRST_LIMITS
   return {
     headerBytes: FIRST_LIMITS.headerBytes,
@@ -83,19 +91,12 @@
     get idleTimeMs () { return current().idleTimeMs },
     requestLimitMs: REQUEST_LIMIT_MS,
     connections: CALLER_CONNECTIONS,
-    stopLimitMs: graceMs * (1 - STAY_PART) - END_MARGIN_MS
+    get stopLimitMs () { return settings().graceMs * (1 - STAY_PART) - END_MARGIN_MS }
   }
 }
 
-/** Reports requests that were not answered by a target. */
-function createObserver (log: Log): (finished: FinishedRequest) => void {
-  return ({ requestId, service, class: className, ending, kind, detail, status, run, durationMs, attempts }) => {
-    if (ending === 'answered' && (status ?? 0) < 500) return
-    log.info(`request.${ending}`, {
-      requestId, service, class: className, kind, detail, status, run, durationMs: Math.round(durationMs), attempts
-    })
-  }
-}
+/** Settings that take effect at the start only. */
+const FIXED_SETTINGS = ['vm', 'directory', 'readiness', 'admin', 'store'] as const
 
 /** Runs a task; a defect is logged and the task starts again. */
 function supervise (name: string, log: Log, task: Effect.Effect<unknown>): Effect.Effect<never> {
@@ -115,11 +116,13 @@
  * process.once('SIGTERM', () => { void Effect.runPromise(edge.stop) })
  */
 export function startEdge (options: EdgeOptions): Effect.Effect<Edge, OpenFailure> {
-  const { settings, store, dialect, log, clock = () => performance.now(), random = Math.random } = options
+  const { store, dialect, log, clock = () => performance.now(), random = Math.random } = options
+  let settings = options.settings
   const { vm } = settings
   let readySince: number | undefined
   let isLeaving = false
 
+  const instruments = createInstruments(log, clock)
   const catalog = createCatalog(log)
   const mesh = createMesh({
     self: vm,
@@ -158,8 +161,11 @@
     mesh,
     servingVMs: servingVMs.all,
     neighbours: servingVMs.neighbours,
-    retries: settings.retries,
-    observe: quarantine.observe,
+    retries: () => settings.retries,
+    observe: (observation, now) => {
+      quarantine.observe(observation, now)
+      instruments.observed(observation)
+    },
     random,
     log,
     clock
@@ -174,7 +180,7 @@
     earnRetry: placing.earnRetry,
     connectionLimit: (service, _target, now) => connectionShare(catalog, service, servingVMs.all(now).length),
     medianLatencyMs: placing.usualMs,
-    observe: createObserver(log),
+    observe: instruments.finished,
     tellsCallersApart: true,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     reuseWithinMs: REUSE_WITHIN_MS,
@@ -182,7 +188,7 @@
     dialect,
     log,
     clock,
-    limits: createLimits(catalog, settings)
+    limits: createLimits(catalog, () => settings)
   })
 
   const isReady = (): boolean => readySince !== undefined && !isLeaving
@@ -191,7 +197,11 @@
     const used = serving.length > 0 || isLeaving ? serving : [vm]
     return { addresses: used.map(({ callers }) => `${callers.address}:${callers.port}`), ttlMs: settings.addressTtlMs }
   }
-  const adminResponder: Responder = path => path === VMS_PATH ? jsonAnswer(200, roster.known()) : NOT_FOUND
+  const adminResponder: Responder = path => {
+    if (path === VMS_PATH) return jsonAnswer(200, roster.known())
+    if (path === METRICS_PATH) return { status: 200, contentType: 'text/plain; version=0.0.4', body: instruments.text(parts) }
+    return NOT_FOUND
+  }
 
   const housekeeping = Effect.forever(Effect.suspend(() => {
     const now = clock()
@@ -205,7 +215,7 @@
     return Effect.sleep(HOUSEKEEPING_MS)
   }))
 
-  const parts: Parts = { catalog, mesh, roster, following, placing, entry }
+  const parts: EdgeParts = { catalog, mesh, roster, following, placing, entry }
 
   return Effect.gen(function * () {
     yield * openEndpoint('readiness', settings.readiness, options.readinessResponder(isReady), log)
@@ -214,7 +224,7 @@
     yield * Effect.mapError(parts.mesh.listen(), ({ detail }) => ({ endpoint: 'peers', detail }))
     yield * Effect.mapError(entry.listen(vm.callers), ({ message }) => ({ endpoint: 'callers', detail: message }))
     const tasks = [
-      ['joining', join({ self: vm, seeds: settings.seeds, store, roster, log })],
+      ['joining', join({ self: vm, seeds: () => settings.seeds, store, roster, log })],
       ['following', following.run],
       ['placing', placing.maintain],
       ['housekeeping', housekeeping]
@@ -234,7 +244,13 @@
       store.close()
       log.info('vm.stopped')
     })
-    return { stop }
+    const reload = (changed: EdgeSettings): void => {
+      const restarts = FIXED_SETTINGS.filter(name => JSON.stringify(changed[name]) !== JSON.stringify(settings[name]))
+      if (restarts.length > 0) log.warn('settings.restart-needed', { settings: restarts })
+      log.info('settings.reloaded', { addressTtlMs: changed.addressTtlMs, graceMs: changed.graceMs })
+      settings = changed
+    }
+    return { stop, reload }
   })
 }
 
--- /dev/null
+++ b/src/edge/instruments.ts
@@ -0,0 +1,70 @@
+/** Metrics of an edge VM. */
+import type { FinishedRequest } from '../entry/index.js'
+import type { Log } from '../log/index.js'
+import { createMetrics, createTrafficCounters, type Sample } from '../metrics/index.js'
+import type { Clock, Observation } from '../model/index.js'
+import type { EdgeParts } from './edge.js'
+
+const edgeGauge = { name: 'camphorbay_edge', help: 'What this VM believes and holds.', labels: ['value'] }
+const storeCallsTotal = { name: 'camphorbay_store_calls', help: 'Calls to the store by section and outcome.', labels: ['section', 'outcome'] }
+const targetPhases = { name: 'camphorbay_targets', help: 'Targets by standing.', labels: ['phase'] }
+
+/** What counts requests and attempts, and writes the metrics. */
+export interface Instruments {
+  readonly finished: (request: FinishedRequest) => void
+  readonly observed: (observation: Observation) => void
+  /** All metrics in the Prometheus text format. */
+  readonly text: (parts: EdgeParts) => string
+}
+
+/** Creates the instruments of a VM. */
+export function createInstruments (log: Log, clock: Clock): Instruments {
+  const metrics = createMetrics()
+  const counters = createTrafficCounters(metrics)
+
+  const report = ({ requestId, service, class: className, ending, kind, detail, status, run, durationMs, attempts }: FinishedRequest): void => {
+    if (ending === 'answered' && (status ?? 0) < 500) return
+    log.info(`request.${ending}`, {
+      requestId, service, class: className, kind, detail, status, run, durationMs: Math.round(durationMs), attempts
+    })
+  }
+
+  const registerGauges = ({ catalog, mesh, roster, following, placing, entry }: EdgeParts): void => {
+    metrics.gauge(edgeGauge, () => {
+      const now = clock()
+      const { requestsInFlight, callerConnections, targetConnections } = entry.state()
+      const values: Readonly<Record<string, number>> = {
+        ruleset_version: catalog.ruleset()?.version ?? 0,
+        confirmed_age_seconds: following.confirmedAgeMs(now) / 1000,
+        linked_vms: roster.linked().length,
+        serving: roster.isServing(now) ? 1 : 0,
+        requests_in_flight: requestsInFlight,
+        caller_connections: callerConnections,
+        target_connections: targetConnections,
+        ...mesh.traffic()
+      }
+      return Object.entries(values).map(([value, number]): Sample => ({ labels: { value }, value: number }))
+    })
+    metrics.gauge(storeCallsTotal, () => [...following.calls()].map(([key, value]): Sample => {
+      const [section = '', outcome = ''] = key.split(' ')
+      return { labels: { section, outcome }, value }
+    }))
+    metrics.gauge(targetPhases, () => {
+      const now = clock()
+      const phases = catalog.listings().map(({ id, draining }) => draining ? 'draining' : placing.targets.phaseOf(id, now))
+      return [...new Set(phases)].map((phase): Sample => ({ labels: { phase }, value: phases.filter(each => each === phase).length }))
+    })
+  }
+
+  return {
+    finished: request => {
+      counters.finished(request)
+      report(request)
+    },
+    observed: counters.observed,
+    text: parts => {
+      registerGauges(parts)
+      return metrics.text()
+    }
+  }
+}
--- a/src/edge/joining.ts
+++ b/src/edge/joining.ts
@@ -50,7 +50,7 @@
 /** What joining depends on. */
 export interface JoiningOptions {
   readonly self: VM
-  readonly seeds: readonly Endpoint[]
+  readonly seeds: () => readonly Endpoint[]
   readonly store: Store
   readonly roster: Roster
   readonly log: Log
@@ -58,11 +58,11 @@
 
 /** Enters this VM in the store's list and learns of the others; runs until interrupted. */
 export function join ({ self, seeds, store, roster, log }: JoiningOptions): Effect.Effect<never> {
-  const learnFromSeeds = Effect.forEach(seeds, seed => askSeed(seed).pipe(
+  const learnFromSeeds = Effect.suspend(() => Effect.forEach(seeds(), seed => askSeed(seed).pipe(
     Effect.match({
       onSuccess: vms => roster.learn(vms),
       onFailure: detail => log.info('seed.unavailable', { address: seed.address, detail })
-    })), { concurrency: 'unbounded', discard: true })
+    })), { concurrency: 'unbounded', discard: true }))
 
   const enter = Effect.gen(function * () {
     for (let pauseMs = FIRST_PAUSE_MS; ; pauseMs = Math.min(LONGEST_PAUSE_MS, 2 * pauseMs)) {
--- a/src/placing/placing.ts
+++ b/src/placing/placing.ts
@@ -57,7 +57,7 @@
   readonly servingVMs: (now: number) => readonly string[]
   /** Names of those of the own zone, without this VM. */
   readonly neighbours: (now: number) => readonly string[]
-  readonly retries: RetryAllowance
+  readonly retries: () => RetryAllowance
   /** Receives the outcome of each attempt. */
   readonly observe: (observation: Observation, now: number) => void
   readonly random: () => number
--- a/src/placing/retry-budget.test.ts
+++ b/src/placing/retry-budget.test.ts
@@ -8,14 +8,14 @@
 const SEED = 20_261_204
 
 test('without requests, each VM has its part of the slack', () => {
-  const budget = createRetryBudget(ALLOWANCE)
+  const budget = createRetryBudget(() => ALLOWANCE)
   let taken = 0
   while (budget.take(8, 0)) taken++
   assert.is(taken, 5)
 })
 
 test('what was taken comes back when the window has passed', () => {
-  const budget = createRetryBudget(ALLOWANCE)
+  const budget = createRetryBudget(() => ALLOWANCE)
   while (budget.take(8, 0));
   assert.is(budget.take(8, 9999), false)
   assert.is(budget.take(8, 10_001), true)
@@ -25,7 +25,7 @@
 test(`all VMs together stay within the bound (seed ${SEED})`, () => {
   const steps = fc.array(fc.record({ vm: fc.nat(7), pauseMs: fc.nat(400), requests: fc.nat(3), repeats: fc.nat(6) }), { maxLength: 300 })
   fc.assert(fc.property(steps, schedule => {
-    const budgets = Array.from({ length: 8 }, () => createRetryBudget(ALLOWANCE))
+    const budgets = Array.from({ length: 8 }, () => createRetryBudget(() => ALLOWANCE))
     const requests: number[] = []
     const repeats: number[] = []
     let now = 0
--- a/src/placing/retry-budget.ts
+++ b/src/placing/retry-budget.ts
@@ -40,16 +40,15 @@
  * Creates an unused budget.
  *
  * @example
- * const budget = createRetryBudget({ ratio: 0.2, windowMs: 10_000, slack: 64 })
+ * const budget = createRetryBudget(() => ({ ratio: 0.2, windowMs: 10_000, slack: 64 }))
  * budget.earn(now)
  * if (budget.take(9, now)) sendAgain()
  */
-export function createRetryBudget ({ ratio, windowMs, slack }: RetryAllowance): RetryBudget {
-  const sliceMs = windowMs / SLICES
+export function createRetryBudget (allowance: () => RetryAllowance): RetryBudget {
   let slices: Slice[] = []
 
   const current = (now: number): Slice => {
-    const index = Math.floor(now / sliceMs)
+    const index = Math.floor(now * SLICES / allowance().windowMs)
     const last = slices.at(-1)
     if (last !== undefined && last.index >= index) return last
     const slice: Slice = { index, requests: 0, repeats: 0 }
@@ -65,6 +64,7 @@
       requests += slice.requests
       repeats += slice.repeats
     }
+    const { ratio, slack } = allowance()
     return repeats + 1 <= USED_PART * (ratio * requests + slack / Math.max(1, vms))
   }
 
