Serve first who can still be on time, share proofs of soundness, two VMs a zone

Serving VMs of a zone tell each other of successes with their loads. Two warm VMs a zone serve in place of three; one whose timers are late twice in a row counts as cold. The test plays twice the capacity for 10 s: 90 % of what the slots can serve is on time.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -18,7 +18,7 @@
 
 const METRICS_PATH = '/metrics'
 /** VMs of a zone that callers are told to use. */
-const SERVING_PER_ZONE = 3
+const SERVING_PER_ZONE = 2
 /** Part of an answer that is read before it is sent on; larger ones are streamed. */
 const COLLECT_BYTES = 64 * 1024
 /** A connection to a target that is established later than this is tried elsewhere. */
@@ -26,6 +26,10 @@
 /** Older idle connections may have gone silent. */
 const REUSE_WITHIN_MS = 3000
 const HOUSEKEEPING_MS = 250
+/** A VM whose timers are later than this twice in a row is too slow to serve callers, in ms. */
+const SLOW_TIMER_MS = 80
+/** Time for which a VM that was slow counts as cold. */
+const SLOW_MEMORY_MS = 5000
 /** Most links are wanted by one of the two VMs only, so the other one does not dial. */
 const SECOND_DIAL_MS = 200
 /** Part of the grace for which a VM that stops goes on as before, until callers have new addresses. */
@@ -121,6 +125,7 @@
   const { vm } = settings
   let readySince: number | undefined
   let isLeaving = false
+  let slowAt = -Infinity
 
   const instruments = createInstruments(log, clock)
   const catalog = createCatalog(log)
@@ -140,7 +145,8 @@
     storeAgeMs: following.storeAgeMs(now),
     rulesetsUpTo: catalog.upTo('rulesets'),
     listingsUpTo: catalog.upTo('listings'),
-    readyMs: readySince === undefined ? 0 : now - readySince
+    // A slow VM counts as one that has just started, so that others serve in its place.
+    readyMs: readySince === undefined || now - slowAt < SLOW_MEMORY_MS ? 0 : now - readySince
   })
   const roster: Roster = createRoster({
     self: vm,
@@ -203,8 +209,20 @@
     return NOT_FOUND
   }
 
+  let sweptAt = Infinity
+  let lateTimers = 0
+  const watchSpeed = (now: number): void => {
+    lateTimers = now - sweptAt > HOUSEKEEPING_MS + SLOW_TIMER_MS ? lateTimers + 1 : 0
+    sweptAt = now
+    if (lateTimers < 2) return
+    if (now - slowAt > SLOW_MEMORY_MS) log.warn('vm.slow', { lateTimers })
+    slowAt = now
+    roster.announce(now)
+  }
+
   const housekeeping = Effect.forever(Effect.suspend(() => {
     const now = clock()
+    watchSpeed(now)
     catalog.sweep(now)
     quarantine.sweep(now)
     if (readySince === undefined && catalog.ruleset() !== undefined && catalog.upTo('listings') > 0) {
--- a/src/placing/line.test.ts
+++ b/src/placing/line.test.ts
@@ -1,39 +1,78 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { goesBefore, returnAfterMs, shouldWait, type Flow, type Waiting } from './line.js'
+import { inOrder, returnAfterMs, shouldWait, type Waiting } from './line.js'
 
 const test = suite('line')
 
 const NOW = 1000
-/** Ten requests end each second; an answer takes 200 ms. */
-const flow: Flow = { endsPerMs: 0.01, usualMs: 200 }
-const request = (over: Partial<Waiting> = {}): Waiting => ({ urgency: 1, since: NOW, objectiveAt: NOW + 800, deadlineAt: NOW + 4000, ...over })
-
-const waits: ReadonlyArray<readonly [name: string, request: Waiting, ahead: number, expected: boolean]> = [
-  ['a request waits while its objective can be kept', request(), 2, true],
-  ['it is refused at once when too many are ahead', request(), 4, false],
-  ['a request that can only be late waits for its deadline', request({ objectiveAt: NOW + 100 }), 4, true],
-  ['a request that cannot be answered in time is refused', request({ objectiveAt: NOW, deadlineAt: NOW + 150 }), 0, false]
+/** Ten requests end each second. */
+const RATE = 0.01
+const request = (over: Partial<Waiting> = {}): Waiting => ({ urgency: 1, objectiveAt: NOW + 800, deadlineAt: NOW + 4000, usualMs: 200, ...over })
+
+const waits: ReadonlyArray<readonly [name: string, request: Waiting, ahead: number, rate: number, expected: boolean]> = [
+  ['a request waits while its objective can be kept', request(), 2, RATE, true],
+  ['it is refused at once when too many are ahead', request(), 4, RATE, false],
+  ['a request that can only be late waits for its deadline', request({ objectiveAt: NOW + 100 }), 20, RATE, true],
+  ['a request that cannot be answered in time is refused', request({ objectiveAt: NOW, deadlineAt: NOW + 150 }), 0, RATE, false],
+  ['a service of which no request ends lets nobody wait', request(), 0, 0, false]
 ]
 
-for (const [name, waiting, ahead, expected] of waits) {
-  test(name, () => assert.is(shouldWait(waiting, ahead, flow, NOW), expected))
+for (const [name, waiting, ahead, rate, expected] of waits) {
+  test(name, () => assert.is(shouldWait(waiting, ahead, rate, NOW), expected))
 }
 
-test('a service without any flow lets nobody wait', () => {
-  assert.is(shouldWait(request(), 0, { endsPerMs: 0, usualMs: 200 }, NOW), false)
-})
+interface Named extends Waiting {
+  readonly name: string
+}
 
-test('the more urgent request goes first, then the one whose time ends first', () => {
-  assert.ok(goesBefore(request({ urgency: 0, objectiveAt: NOW + 900 }), request()))
-  assert.ok(goesBefore(request({ objectiveAt: NOW + 100 }), request()))
-  assert.not.ok(goesBefore(request({ urgency: 2, objectiveAt: NOW }), request()))
-})
+const orders: ReadonlyArray<readonly [name: string, requests: readonly Named[], order: string]> = [
+  ['the more urgent request goes first', [{ name: 'b', ...request() }, { name: 'a', ...request({ urgency: 0, objectiveAt: NOW + 900 }) }], 'ab'],
+  ['then the one whose time ends first', [{ name: 'b', ...request() }, { name: 'a', ...request({ objectiveAt: NOW + 700 }) }], 'ab'],
+  ['a request that is late anyway makes no other one late', [{ name: 'b', ...request({ urgency: 0, objectiveAt: NOW + 250 }) }, { name: 'a', ...request() }], 'ab'],
+  ['among late ones the more urgent goes first', [{ name: 'b', ...request({ objectiveAt: NOW }) }, { name: 'a', ...request({ urgency: 0, objectiveAt: NOW + 100 }) }], 'ab']
+]
+
+for (const [name, requests, order] of orders) {
+  test(name, () => assert.is(inOrder(requests, NOW).map(each => each.name).join(''), order))
+}
 
 test('those refused together come back at different times, after about the time of the line', () => {
-  assert.is(returnAfterMs(4, flow, () => 0), 250)
-  assert.is(returnAfterMs(4, flow, () => 0.999), 750)
-  assert.is(returnAfterMs(100, flow, () => 0.5), 1000)
+  assert.is(returnAfterMs(4, RATE, () => 0), 250)
+  assert.is(returnAfterMs(4, RATE, () => 0.999), 750)
+  assert.is(returnAfterMs(100, RATE, () => 0.5), 1000)
+})
+
+/** Twice the load that the slots can serve for 10 s: how many answers are on time. */
+test('in a burst of twice the capacity, most of what the slots can serve is on time', () => {
+  const SERVICE_MS = 200
+  const SLOTS = 4
+  const capacity = 10_000 / SERVICE_MS * SLOTS
+  let waiting: Waiting[] = []
+  let free = SLOTS
+  const ends: number[] = []
+  const ended: number[] = []
+  let onTime = 0
+  for (let now = 0; now < 10_000; now += 5) {
+    while ((ends[0] ?? Infinity) <= now) {
+      ended.push(ends.shift() as number)
+      free++
+    }
+    if (now % 25 === 0) {
+      const arrived = request({ objectiveAt: now + 800, deadlineAt: now + 4000 })
+      const rate = ended.filter(at => now - at <= 2000).length / 2000
+      const ahead = waiting.filter(other => inOrder([arrived, other], now)[0] === other).length
+      if (free > 0 || shouldWait(arrived, ahead, rate, now)) waiting.push(arrived)
+    }
+    waiting = waiting.filter(({ deadlineAt }) => deadlineAt - SERVICE_MS > now)
+    for (const next of inOrder(waiting, now)) {
+      if (free === 0) break
+      free--
+      waiting = waiting.filter(other => other !== next)
+      ends.push(now + SERVICE_MS)
+      if (now + SERVICE_MS <= next.objectiveAt) onTime++
+    }
+  }
+  assert.ok(onTime >= 0.9 * capacity, `${onTime} of ${capacity}`)
 })
 
 test.run()
--- a/src/placing/line.ts
+++ b/src/placing/line.ts
@@ -1,66 +1,77 @@
 /**
  * The requests of one service that wait for a slot.
  *
- * Load this answers: bursts of 1.4 to 3 times the usual load on services without spare slots. The most
- * urgent requests go first, and a request that cannot be served in time is refused when that is known,
- * with a time to come back that spreads the return.
+ * Load this answers: bursts of 1.4 to 3 times the usual load on services without spare slots. Served in
+ * the order of their arrival, all requests would be late. So those whose objective can still be kept go
+ * first, among them the most urgent ones; a request that cannot be served in time is refused when that is
+ * known, with a time to come back that spreads the return.
  */
 
 /** A request that waits. */
 export interface Waiting {
   /** 0 is the most urgent. */
   readonly urgency: number
-  readonly since: number
   readonly objectiveAt: number
   readonly deadlineAt: number
-}
-
-/** What the line knows of the service. */
-export interface Flow {
-  /** Requests that end per ms at this VM, recently. */
-  readonly endsPerMs: number
-  /** Usual time from sending a request to its answer, in ms. */
+  /** Usual time from sending a request of its class to the answer, in ms. */
   readonly usualMs: number
 }
 
-/** Part of the time to the objective, or to the deadline behind it, that a request may spend waiting. */
-const WAIT_SHARE = 0.6
+/** Times are spread around the usual one, so that much more is needed to be on time in most cases. */
+const TIME_FACTOR = 1.5
+/** Part of the time to its latest start that a request may be expected to wait. */
+const WAIT_SHARE = 0.8
 /** Shortest and longest time to come back, in ms. */
 const RETURN_MIN_MS = 100
 const RETURN_MAX_MS = 1000
 /** Part of the time to come back that is random, so that those refused together do not return together. */
 const RETURN_JITTER = 0.5
 
-/** Whether one request goes before another: the more urgent one, then the one whose time ends first. */
-export function goesBefore (a: Waiting, b: Waiting): boolean {
+/** Whether the objective can still be kept when the request starts now. */
+export function isOnTime ({ objectiveAt, usualMs }: Waiting, now: number): boolean {
+  return now <= objectiveAt - TIME_FACTOR * usualMs
+}
+
+/** Latest time at which the request can start and be answered before its deadline. */
+export function latestStart ({ deadlineAt, usualMs }: Waiting): number {
+  return deadlineAt - usualMs
+}
+
+/** Whether one request goes before another: on time, then more urgent, then the one whose time ends first. */
+export function goesBefore (a: Waiting, b: Waiting, now: number): boolean {
+  const [isOnTimeA, isOnTimeB] = [isOnTime(a, now), isOnTime(b, now)]
+  if (isOnTimeA !== isOnTimeB) return isOnTimeA
   if (a.urgency !== b.urgency) return a.urgency < b.urgency
   return a.objectiveAt < b.objectiveAt
 }
 
-/** Time until a request with `ahead` others before it gets a slot, in ms. */
-export function expectedWaitMs (ahead: number, { endsPerMs }: Flow): number {
-  return endsPerMs > 0 ? (ahead + 1) / endsPerMs : Infinity
+/** The requests in the order in which they should be served. */
+export function inOrder<Request extends Waiting> (requests: readonly Request[], now: number): readonly Request[] {
+  return [...requests].sort((a, b) => goesBefore(a, b, now) ? -1 : goesBefore(b, a, now) ? 1 : 0)
 }
 
-/** Latest time at which the request can still start and be answered in time. */
-export function latestStart ({ objectiveAt, deadlineAt }: Waiting, { usualMs }: Flow, now: number): number {
-  const inObjective = objectiveAt - usualMs
-  // Too late for the objective, an answer before the deadline is still worth something.
-  return inObjective > now ? inObjective : deadlineAt - usualMs
+/**
+ * Time until a request with `ahead` others before it gets a slot, in ms.
+ *
+ * @param endsPerMs requests that end per ms at this VM
+ */
+export function expectedWaitMs (ahead: number, endsPerMs: number): number {
+  return endsPerMs > 0 ? (ahead + 1) / endsPerMs : Infinity
 }
 
 /**
- * Whether a request should wait: it is likely to start early enough.
+ * Whether a request should wait: it is likely to start early enough, for its objective or, behind that,
+ * for its deadline.
  *
  * @param ahead requests that go before it
  */
-export function shouldWait (request: Waiting, ahead: number, flow: Flow, now: number): boolean {
-  const spareMs = latestStart(request, flow, now) - now
-  return spareMs > 0 && expectedWaitMs(ahead, flow) <= spareMs * WAIT_SHARE
+export function shouldWait (request: Waiting, ahead: number, endsPerMs: number, now: number): boolean {
+  const until = isOnTime(request, now) ? request.objectiveAt - TIME_FACTOR * request.usualMs : latestStart(request)
+  return until > now && expectedWaitMs(ahead, endsPerMs) <= (until - now) * WAIT_SHARE
 }
 
 /** Time after which a refused request should come back, in ms. */
-export function returnAfterMs (ahead: number, flow: Flow, random: () => number): number {
-  const waitMs = Math.min(RETURN_MAX_MS, Math.max(RETURN_MIN_MS, expectedWaitMs(ahead, flow)))
+export function returnAfterMs (ahead: number, endsPerMs: number, random: () => number): number {
+  const waitMs = Math.min(RETURN_MAX_MS, Math.max(RETURN_MIN_MS, expectedWaitMs(ahead, endsPerMs)))
   return Math.round(waitMs * (1 - RETURN_JITTER + RETURN_JITTER * 2 * random()))
 }
--- a/src/placing/loads.ts
+++ b/src/placing/loads.ts
@@ -11,10 +11,15 @@
   readonly own: (target: string) => number
   /** Own requests and those that others told of. */
   readonly total: (target: string, now: number) => number
+  /** Records a success of an own request. */
+  readonly prove: (target: string, now: number) => void
+  /** When a request last succeeded, of this VM or another one; -Infinity if never. */
+  readonly provenAt: (target: string) => number
   /** Takes what another VM says. */
   readonly take: (vm: string, loads: Loads, now: number) => void
-  /** Own requests as a message. */
-  readonly pack: () => Loads
+  /** Own requests and recent successes as a message. */
+  readonly pack: (now: number) => Loads
+  readonly retain: (isKnown: (target: string) => boolean) => void
 }
 
 interface Told {
@@ -22,10 +27,15 @@
   readonly at: number
 }
 
+/** Older successes are not told: the others know them, or they say little. */
+const TOLD_PROOF_MS = 1000
+
 /** Creates counts that start at 0. */
 export function createLoads (): TargetLoads {
   const own = new Map<string, number>()
   const told = new Map<string, Told>()
+  const ownProof = new Map<string, number>()
+  const proof = new Map<string, number>()
   const change = (target: string, by: number): void => {
     const count = (own.get(target) ?? 0) + by
     if (count > 0) own.set(target, count)
@@ -40,7 +50,22 @@
       for (const { counts, at } of told.values()) if (now - at <= STALE_MS) sum += counts.get(target) ?? 0
       return sum
     },
-    take: (vm, loads, now) => { told.set(vm, { counts: new Map(loads), at: now }) },
-    pack: () => [...own]
+    prove: (target, now) => {
+      ownProof.set(target, now)
+      proof.set(target, now)
+    },
+    provenAt: target => proof.get(target) ?? -Infinity,
+    take: (vm, loads, now) => {
+      told.set(vm, { counts: new Map(loads.map(([target, count]) => [target, count])), at: now })
+      for (const [target, , agoMs] of loads) {
+        if (agoMs <= TOLD_PROOF_MS) proof.set(target, Math.max(proof.get(target) ?? -Infinity, now - agoMs))
+      }
+    },
+    pack: now => {
+      const recent = [...ownProof].filter(([, at]) => now - at <= TOLD_PROOF_MS).map(([target]) => target)
+      return [...new Set([...own.keys(), ...recent])].map(target =>
+        [target, own.get(target) ?? 0, Math.min(TOLD_PROOF_MS + 1, Math.round(now - (ownProof.get(target) ?? -Infinity)))] as const)
+    },
+    retain: isKnown => { for (const known of [ownProof, proof]) for (const target of known.keys()) if (!isKnown(target)) known.delete(target) }
   }
 }
--- a/src/placing/messages.ts
+++ b/src/placing/messages.ts
@@ -13,9 +13,12 @@
 /** To all linked VMs, at once: a target failed a request, or a suspect target served one. */
 export const verdictChannel: Channel<Verdict> = { kind: 'verdict', parse: checkVerdict }
 
-const checkLoads = list(tuple(text(ID_LIMIT, 1), integer(0, 65_535)), TARGETS_LIMIT)
+const checkLoads = list(tuple(text(ID_LIMIT, 1), integer(0, 65_535), integer(0)), TARGETS_LIMIT)
 
-/** Requests of the sender that run at each target; targets without any are left out. */
+/**
+ * For each target with requests or recent successes: its id, requests of the sender that run there, and
+ * time since the last success, in ms.
+ */
 export type Loads = Checked<typeof checkLoads>
 
 /** To the serving VMs of the own zone, while it changes. */
--- a/src/placing/placing.ts
+++ b/src/placing/placing.ts
@@ -5,7 +5,7 @@
 import type { Log } from '../log/index.js'
 import type { Admission, Clock, Mesh, Observation, PlacementRequest, Slot, Target } from '../model/index.js'
 import { chooseSuspect, chooseTarget, type Candidate, type Chosen } from './choose.js'
-import { expectedWaitMs, goesBefore, latestStart, returnAfterMs, shouldWait, type Flow, type Waiting } from './line.js'
+import { expectedWaitMs, goesBefore, inOrder, latestStart, returnAfterMs, shouldWait, type Waiting } from './line.js'
 import { loadsChannel } from './messages.js'
 import { createRetryBudget, type RetryAllowance, type RetryBudget } from './retry-budget.js'
 import { createTargets, type Targets } from './targets.js'
@@ -20,6 +20,8 @@
 const PRUNE_MS = 5000
 /** Time over which the rate of ending requests is measured, in ms. */
 const RATE_WINDOW_MS = 2000
+/** Ends in that time from which on their rate is measured. */
+const MEASURED_ENDS = 10
 /** Latency that is assumed before the first answer, in ms. */
 const ASSUMED_LATENCY_MS = 200
 /** A service whose last idempotent request is older than this has none for trials, in ms. */
@@ -123,13 +125,15 @@
 
   const vmCount = (now: number): number => Math.max(1, options.servingVMs(now).length)
 
-  const flowOf = (service: string, className: string, candidates: readonly Candidate[], now: number): Flow => {
-    const usualMs = targets.latenciesOf(service).usualMs(className) ?? ASSUMED_LATENCY_MS
+  const usualMsOf = (service: string, className: string): number => targets.latenciesOf(service).usualMs(className) ?? ASSUMED_LATENCY_MS
+
+  /** Requests that end per ms at this VM; at first, what the slots make possible. */
+  const endsPerMs = (service: string, className: string, candidates: readonly Candidate[], now: number): number => {
     const line = lineOf(service)
     line.endedAt = line.endedAt.filter(at => now - at <= RATE_WINDOW_MS)
+    if (line.endedAt.length >= MEASURED_ENDS) return line.endedAt.length / RATE_WINDOW_MS
     const slots = candidates.reduce((sum, { phase, listing }) => phase === 'sound' ? sum + listing.slots : sum, 0)
-    const possible = slots / Math.max(1, usualMs) / vmCount(now)
-    return { endsPerMs: Math.max(line.endedAt.length / RATE_WINDOW_MS, possible), usualMs }
+    return slots / Math.max(1, usualMsOf(service, className)) / vmCount(now)
   }
 
   const riskyTrialAfterMs = (line: Line, candidates: readonly Candidate[], now: number): number => {
@@ -196,8 +200,9 @@
         running.delete(entry)
         targets.loads.end(listing.id)
         const line = lineOf(wanted.service)
-        line.endedAt.push(endedAt)
         if (observation !== undefined) note(line, observation.result !== 'answered', endedAt)
+        // A failure that comes at once says nothing of how many requests the slots can serve.
+        if (observation?.result === 'answered') line.endedAt.push(endedAt)
         targets.settle(listing, observation, now, endedAt)
         if (observation === undefined) return serve(wanted.service, endedAt)
         report(wanted, candidate, isTrial, observation, endedAt - now)
@@ -215,33 +220,25 @@
 
   const drop = (line: Line, entry: Entry): void => { line.entries = line.entries.filter(other => other !== entry) }
 
-  const refuseBecause = (entry: Entry, line: Line, reason: string, flow: Flow): void => {
+  const refuseWaiting = (service: string, line: Line, entry: Entry, now: number): void => {
     drop(line, entry)
-    note(line, true, clock())
-    entry.refuse(refusal('overloaded', reason, { retryAfterMs: returnAfterMs(line.entries.length, flow, random) }))
+    note(line, true, now)
+    const candidates = targets.candidates(service, entry.wanted.avoid, now)
+    const rate = endsPerMs(service, entry.wanted.class, candidates, now)
+    entry.refuse(refusal('overloaded', 'no slot became free in time', { retryAfterMs: returnAfterMs(line.entries.length, rate, random) }))
   }
 
   /** Gives free slots to those who wait, and refuses who cannot be served in time any more. */
   function serve (service: string, now: number): void {
     const line = lines.get(service)
     if (line === undefined || line.entries.length === 0) return
-    for (const entry of [...line.entries]) {
+    for (const entry of inOrder(line.entries, now)) {
       const slot = tryGrant(entry.wanted, now)
       if (slot === undefined) break
       drop(line, entry)
       entry.deliver(slot)
     }
-    for (const entry of [...line.entries]) {
-      const flow = flowOf(service, entry.wanted.class, targets.candidates(service, entry.wanted.avoid, now), now)
-      if (latestStart(entry, flow, now) <= now) refuseBecause(entry, line, 'no slot became free in time', flow)
-    }
-  }
-
-  const enter = (line: Line, entry: Entry): number => {
-    const index = line.entries.findIndex(other => goesBefore(entry, other))
-    const position = index < 0 ? line.entries.length : index
-    line.entries.splice(position, 0, entry)
-    return position
+    for (const entry of line.entries.filter(each => latestStart(each) <= now)) refuseWaiting(service, line, entry, now)
   }
 
   const acquire: Admission['acquire'] = (wanted, now) => Effect.callback<Slot, Refusal>(resume => {
@@ -250,7 +247,7 @@
     const candidates = targets.candidates(wanted.service, wanted.avoid, now)
     if (candidates.length === 0) {
       const detail = wanted.avoid.size > 0 ? 'every target was tried' : 'the service has no target'
-      return resume(Effect.fail(refusal('no-target', detail, { retryAfterMs: returnAfterMs(0, { endsPerMs: 0, usualMs: 0 }, random) })))
+      return resume(Effect.fail(refusal('no-target', detail, { retryAfterMs: returnAfterMs(0, 0, random) })))
     }
     const isFirst = line.entries.length === 0
     const slot = isFirst ? tryGrant(wanted, now) : undefined
@@ -258,20 +255,20 @@
     const entry: Entry = {
       wanted,
       urgency: -wanted.priority,
-      since: now,
       objectiveAt: wanted.objectiveAt,
       deadlineAt: wanted.deadlineAt,
+      usualMs: usualMsOf(wanted.service, wanted.class),
       deliver: granted => resume(Effect.succeed(granted)),
       refuse: refused => resume(Effect.fail(refused))
     }
-    const flow = flowOf(wanted.service, wanted.class, candidates, now)
-    const ahead = line.entries.filter(other => !goesBefore(entry, other)).length
-    if (!shouldWait(entry, ahead, flow, now)) {
+    const rate = endsPerMs(wanted.service, wanted.class, candidates, now)
+    const ahead = line.entries.filter(other => !goesBefore(entry, other, now)).length
+    if (!shouldWait(entry, ahead, rate, now)) {
       note(line, true, now)
-      const detail = `${ahead} requests wait, which takes about ${Math.round(expectedWaitMs(ahead, flow))} ms`
-      return resume(Effect.fail(refusal('overloaded', detail, { retryAfterMs: returnAfterMs(ahead, flow, random) })))
+      const detail = `${ahead} requests wait, which takes about ${Math.round(expectedWaitMs(ahead, rate))} ms`
+      return resume(Effect.fail(refusal('overloaded', detail, { retryAfterMs: returnAfterMs(ahead, rate, random) })))
     }
-    enter(line, entry)
+    line.entries.push(entry)
     serve(wanted.service, now)
     return Effect.sync(() => drop(line, entry))
   })
@@ -279,7 +276,7 @@
   let sharedAt = -Infinity
   let shared = ''
   const shareLoads = (now: number): void => {
-    const loads = targets.loads.pack()
+    const loads = targets.loads.pack(now)
     const text = JSON.stringify(loads)
     if (now - sharedAt < (text === shared ? REPEAT_LOADS_MS : SHARE_LOADS_MS)) return
     if (text === shared && loads.length === 0) return
--- a/src/placing/standing.test.ts
+++ b/src/placing/standing.test.ts
@@ -22,7 +22,7 @@
     name: 'a success that began after the failure makes the target sound',
     run: standings => {
       standings.fail('t', 0)
-      standings.succeed('t', 1000, 1200)
+      standings.succeed('t', 1000)
     },
     phases: [[1200, 'sound']]
   },
@@ -30,7 +30,7 @@
     name: 'a success that began before the failure proves nothing',
     run: standings => {
       standings.fail('t', 100)
-      standings.succeed('t', 50, 300)
+      standings.succeed('t', 50)
     },
     phases: [[300, 'held']]
   },
@@ -54,16 +54,14 @@
   {
     name: 'a failure just after a success leads to a trial at once',
     run: standings => {
-      standings.succeed('t', 0, 100)
-      standings.fail('t', 300)
+      standings.fail('t', 300, 100)
     },
     phases: [[300, 'due']]
   },
   {
     name: 'a failure long after a success holds the target back',
     run: standings => {
-      standings.succeed('t', 0, 100)
-      standings.fail('t', 400)
+      standings.fail('t', 400, 100)
     },
     phases: [[400, 'held'], [1400, 'due']]
   },
@@ -88,7 +86,7 @@
 test('only what changes the standing is worth telling', () => {
   const standings = createStandings([1000])
   assert.equal([standings.fail('t', 0), standings.fail('t', 1)], [true, false])
-  assert.equal([standings.succeed('t', 2, 3), standings.succeed('t', 4, 5)], [true, false])
+  assert.equal([standings.succeed('t', 2), standings.succeed('t', 4)], [true, false])
 })
 
 test.run()
--- a/src/placing/standing.ts
+++ b/src/placing/standing.ts
@@ -33,15 +33,16 @@
   /**
    * Records a failure.
    *
+   * @param provenAt when a request of any VM last succeeded; -Infinity if never
    * @returns whether the target was sound before, or a trial failed
    */
-  readonly fail: (target: string, now: number) => boolean
+  readonly fail: (target: string, now: number, provenAt?: number) => boolean
   /**
    * Records a success of a request that began at `startedAt`.
    *
    * @returns whether the target is sound from now on and was not before
    */
-  readonly succeed: (target: string, startedAt: number, now: number) => boolean
+  readonly succeed: (target: string, startedAt: number) => boolean
   /** Uses the target again, for example because it was replaced, or another VM saw it succeed. */
   readonly clear: (target: string) => void
   readonly phaseOf: (target: string, now: number) => Phase
@@ -49,8 +50,6 @@
   readonly failedAt: (target: string) => number | undefined
   /** Time since the hold ended, in ms; negative while it is held. */
   readonly overdueMs: (target: string, now: number) => number
-  /** When the target last succeeded; -Infinity if never. */
-  readonly provenAt: (target: string) => number
   /** Forgets targets that `isKnown` does not name. */
   readonly retain: (isKnown: (target: string) => boolean) => void
 }
@@ -67,7 +66,6 @@
  */
 export function createStandings (holds: Holds): Standings {
   const suspicions = new Map<string, Suspicion>()
-  const proven = new Map<string, number>()
 
   const holdMs = (failedTrials: number): number => holds[Math.min(failedTrials, holds.length - 1)] ?? holds[0]
 
@@ -79,18 +77,17 @@
 
   return {
     phaseOf,
-    fail: (target, now) => {
+    fail: (target, now, provenAt = -Infinity) => {
       const phase = phaseOf(target, now)
       const known = suspicions.get(target)
       // Requests that ran together fail together; only a failed trial says that the episode goes on.
       const failedTrials = phase === 'due' ? (known?.failedTrials ?? 0) + 1 : known?.failedTrials ?? 0
-      const isByChance = phase === 'sound' && now - (proven.get(target) ?? -Infinity) <= RECENTLY_PROVEN_MS
+      const isByChance = phase === 'sound' && now - provenAt <= RECENTLY_PROVEN_MS
       const heldUntil = isByChance ? now : Math.max(known?.heldUntil ?? now, now + holdMs(failedTrials))
       suspicions.set(target, { failedAt: now, heldUntil, failedTrials })
       return phase !== 'held'
     },
-    succeed: (target, startedAt, now) => {
-      proven.set(target, now)
+    succeed: (target, startedAt) => {
       const suspicion = suspicions.get(target)
       if (suspicion === undefined || startedAt < suspicion.failedAt) return false
       suspicions.delete(target)
@@ -99,9 +96,8 @@
     clear: target => { suspicions.delete(target) },
     failedAt: target => suspicions.get(target)?.failedAt,
     overdueMs: (target, now) => now - (suspicions.get(target)?.heldUntil ?? now),
-    provenAt: target => proven.get(target) ?? -Infinity,
     retain: isKnown => {
-      for (const known of [suspicions, proven]) for (const target of known.keys()) if (!isKnown(target)) known.delete(target)
+      for (const target of suspicions.keys()) if (!isKnown(target)) suspicions.delete(target)
     }
   }
 }
--- a/src/placing/targets.ts
+++ b/src/placing/targets.ts
@@ -85,7 +85,7 @@
   }
 
   const suspect = (listing: Listing, reason: string, requestId: string, now: number): void => {
-    if (!answers.fail(listing.id, now)) return
+    if (!answers.fail(listing.id, now, loads.provenAt(listing.id))) return
     log.info('target.suspect', { target: listing.id, reason, requestId })
     tell(listing, true)
   }
@@ -101,11 +101,12 @@
   }
 
   const recordSuccess = (listing: Listing, observation: Observation, placedAt: number, now: number): void => {
+    loads.prove(listing.id, now)
     latenciesOf(listing.service).record(observation.class, listing.id, observation.latencyMs, now)
-    paths.succeed(listing.id, placedAt, now)
-    rooms.succeed(listing.id, placedAt, now)
-    addresses.succeed(listing.id, placedAt, now)
-    if (!answers.succeed(listing.id, placedAt, now)) return
+    paths.succeed(listing.id, placedAt)
+    rooms.succeed(listing.id, placedAt)
+    addresses.succeed(listing.id, placedAt)
+    if (!answers.succeed(listing.id, placedAt)) return
     log.info('target.sound', { target: listing.id, requestId: observation.requestId })
     tell(listing, false)
   }
@@ -154,7 +155,7 @@
       overdueMs: phase === 'sound' ? 0 : Math.min(...all.filter(each => each.phaseOf(id, now) !== 'sound').map(each => each.overdueMs(id, now))),
       load: loads.total(id, now),
       slowness: Math.max(warmth, latenciesOf(listing.service).slowness(id, now)),
-      provenAgeMs: now - answers.provenAt(id),
+      provenAgeMs: now - loads.provenAt(id),
       isOnTrial: trials.has(id),
       trialDelayMs: isSharedTrial ? trialDelayMs(id, now) : 0
     }
@@ -165,7 +166,7 @@
     const listing = catalog.find(id)
     if (listing === undefined || listing.startedAt !== startedAt) return
     log.info('verdict.heard', { target: id, from: from.vm, failed: hasFailed === 1 })
-    if (hasFailed === 1) answers.fail(id, now)
+    if (hasFailed === 1) answers.fail(id, now, loads.provenAt(id))
     else answers.clear(id)
   })
 
@@ -193,6 +194,7 @@
     prune: () => {
       const isKnown = (target: string): boolean => catalog.find(target) !== undefined
       for (const standings of all) standings.retain(isKnown)
+      loads.retain(isKnown)
       for (const known of [brokenAt, incarnations]) for (const id of known.keys()) if (!isKnown(id)) known.delete(id)
     }
   }
