--- a/src/placing/line.test.ts
+++ b/src/placing/line.test.ts
@@ -1,6 +1,6 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { inOrder, returnAfterMs, shouldWait, type Waiting } from './line.js'
+import { expectedWaitMs, inOrder, returnAfterMs, shouldWait, type Waiting } from './line.js'
 
 const test = suite('line')
 
@@ -18,7 +18,7 @@
 ]
 
 for (const [name, waiting, ahead, rate, expected] of waits) {
-  test(name, () => assert.is(shouldWait(waiting, ahead, rate, NOW), expected))
+  test(name, () => assert.is(shouldWait(waiting, expectedWaitMs(ahead, rate), NOW), expected))
 }
 
 interface Named extends Waiting {
@@ -37,9 +37,9 @@
 }
 
 test('those refused together come back at different times, after about the time of the line', () => {
-  assert.is(returnAfterMs(4, RATE, () => 0), 250)
-  assert.is(returnAfterMs(4, RATE, () => 0.999), 750)
-  assert.is(returnAfterMs(100, RATE, () => 0.5), 1000)
+  assert.is(returnAfterMs(500, () => 0), 250)
+  assert.is(returnAfterMs(500, () => 0.999), 750)
+  assert.is(returnAfterMs(10_000, () => 0.5), 1000)
 })
 
 /** Twice the load that the slots can serve for 10 s: how many answers are on time. */
@@ -61,7 +61,7 @@
       const arrived = request({ objectiveAt: now + 800, deadlineAt: now + 4000 })
       const rate = ended.filter(at => now - at <= 2000).length / 2000
       const ahead = waiting.filter(other => inOrder([arrived, other], now)[0] === other).length
-      if (free > 0 || shouldWait(arrived, ahead, rate, now)) waiting.push(arrived)
+      if (free > 0 || shouldWait(arrived, expectedWaitMs(ahead, rate), now)) waiting.push(arrived)
     }
     waiting = waiting.filter(({ deadlineAt }) => deadlineAt - SERVICE_MS > now)
     for (const next of inOrder(waiting, now)) {
--- a/src/placing/line.ts
+++ b/src/placing/line.ts
@@ -63,15 +63,14 @@
  * Whether a request should wait: it is likely to start early enough, for its objective or, behind that,
  * for its deadline.
  *
- * @param ahead requests that go before it
+ * @param waitMs time after which it is expected to get a slot
  */
-export function shouldWait (request: Waiting, ahead: number, endsPerMs: number, now: number): boolean {
+export function shouldWait (request: Waiting, waitMs: number, now: number): boolean {
   const until = isOnTime(request, now) ? request.objectiveAt - TIME_FACTOR * request.usualMs : latestStart(request)
-  return until > now && expectedWaitMs(ahead, endsPerMs) <= (until - now) * WAIT_SHARE
+  return until > now && waitMs <= (until - now) * WAIT_SHARE
 }
 
-/** Time after which a refused request should come back, in ms. */
-export function returnAfterMs (ahead: number, endsPerMs: number, random: () => number): number {
-  const waitMs = Math.min(RETURN_MAX_MS, Math.max(RETURN_MIN_MS, expectedWaitMs(ahead, endsPerMs)))
-  return Math.round(waitMs * (1 - RETURN_JITTER + RETURN_JITTER * 2 * random()))
+/** Time after which a refused request should come back, in ms, when it would have waited for `waitMs`. */
+export function returnAfterMs (waitMs: number, random: () => number): number {
+  return Math.round(Math.min(RETURN_MAX_MS, Math.max(RETURN_MIN_MS, waitMs)) * (1 - RETURN_JITTER + RETURN_JITTER * 2 * random()))
 }
--- a/src/placing/placing.ts
+++ b/src/placing/placing.ts
@@ -83,6 +83,12 @@
   outcomes: Array<{ readonly at: number, readonly isFailure: boolean }>
 }
 
+/** When a slot is expected. */
+interface Outlook {
+  readonly waitMs: number
+  readonly reason: string
+}
+
 /** A request that runs. */
 interface Running {
   readonly listing: Listing
@@ -220,12 +226,22 @@
 
   const drop = (line: Line, entry: Entry): void => { line.entries = line.entries.filter(other => other !== entry) }
 
+  /** When a request with `ahead` others before it is expected to get a slot, and why. */
+  const outlook = (wanted: PlacementRequest, candidates: readonly Candidate[], ahead: number, now: number): Outlook => {
+    if (candidates.some(({ phase }) => phase === 'sound')) {
+      const waitMs = expectedWaitMs(ahead, endsPerMs(wanted.service, wanted.class, candidates, now))
+      return { waitMs, reason: `${ahead} requests wait, which takes about ${Math.round(waitMs)} ms` }
+    }
+    const trialMs = Math.min(...candidates.map(({ overdueMs }) => Math.max(0, -overdueMs)))
+    const reason = `all ${candidates.length} targets failed lately, and the next one is tried in ${Math.round(trialMs)} ms`
+    return { waitMs: trialMs + usualMsOf(wanted.service, wanted.class), reason }
+  }
+
   const refuseWaiting = (service: string, line: Line, entry: Entry, now: number): void => {
     drop(line, entry)
     note(line, true, now)
-    const candidates = targets.candidates(service, entry.wanted.avoid, now)
-    const rate = endsPerMs(service, entry.wanted.class, candidates, now)
-    entry.refuse(refusal('overloaded', 'no slot became free in time', { retryAfterMs: returnAfterMs(line.entries.length, rate, random) }))
+    const { waitMs, reason } = outlook(entry.wanted, targets.candidates(service, entry.wanted.avoid, now), line.entries.length, now)
+    entry.refuse(refusal('overloaded', `no slot became free in time; ${reason}`, { retryAfterMs: returnAfterMs(waitMs, random) }))
   }
 
   /** Gives free slots to those who wait, and refuses who cannot be served in time any more. */
@@ -247,7 +263,7 @@
     const candidates = targets.candidates(wanted.service, wanted.avoid, now)
     if (candidates.length === 0) {
       const detail = wanted.avoid.size > 0 ? 'every target was tried' : 'the service has no target'
-      return resume(Effect.fail(refusal('no-target', detail, { retryAfterMs: returnAfterMs(0, 0, random) })))
+      return resume(Effect.fail(refusal('no-target', detail, { retryAfterMs: returnAfterMs(ASSUMED_LATENCY_MS, random) })))
     }
     const isFirst = line.entries.length === 0
     const slot = isFirst ? tryGrant(wanted, now) : undefined
@@ -261,12 +277,11 @@
       deliver: granted => resume(Effect.succeed(granted)),
       refuse: refused => resume(Effect.fail(refused))
     }
-    const rate = endsPerMs(wanted.service, wanted.class, candidates, now)
     const ahead = line.entries.filter(other => !goesBefore(entry, other, now)).length
-    if (!shouldWait(entry, ahead, rate, now)) {
+    const { waitMs, reason } = outlook(wanted, candidates, ahead, now)
+    if (!shouldWait(entry, waitMs, now)) {
       note(line, true, now)
-      const detail = `${ahead} requests wait, which takes about ${Math.round(expectedWaitMs(ahead, rate))} ms`
-      return resume(Effect.fail(refusal('overloaded', detail, { retryAfterMs: returnAfterMs(ahead, rate, random) })))
+      return resume(Effect.fail(refusal('overloaded', reason, { retryAfterMs: returnAfterMs(waitMs, random) })))
     }
     line.entries.push(entry)
     serve(wanted.service, now)
@@ -304,7 +319,8 @@
     usualMs: (service, className) => targets.latenciesOf(service).usualMs(className),
     maintain: Effect.forever(Effect.suspend(() => {
       sweep(clock())
-      return Effect.sleep(running.size > 0 ? SWEEP_MS : IDLE_SWEEP_MS)
+      const isBusy = running.size > 0 || [...lines.values()].some(({ entries }) => entries.length > 0)
+      return Effect.sleep(isBusy ? SWEEP_MS : IDLE_SWEEP_MS)
     })),
     targets,
     waiting: service => lines.get(service)?.entries.length ?? 0
