--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -1,7 +1,7 @@
 /** A VM of a fleet that keeps its configuration and its targets in a store. */
 import { Effect, Fiber } from 'effect'
 import { createBranches, createCatalog, type Catalog } from '../catalog/index.js'
-import { createEntry, type Dialect, type Entry, type Limits } from '../entry/index.js'
+import { createEntry, type Dialect, type Entry } from '../entry/index.js'
 import { createFollowing, type Following } from '../following/index.js'
 import type { Log } from '../log/index.js'
 import type { Clock } from '../model/index.js'
@@ -13,8 +13,11 @@
 import { jsonAnswer, NOT_FOUND, openEndpoint, type OpenFailure, type Responder } from './http-endpoint.js'
 import { createInstruments } from './instruments.js'
 import { join, VMS_PATH } from './joining.js'
+import { createLimits } from './limits.js'
 import { resolveRequest } from './routes.js'
+import { connectionShare, createServingView } from './serving-view.js'
 import type { EdgeSettings } from './settings.js'
+import { createSpeedWatch } from './speed.js'
 
 const METRICS_PATH = '/metrics'
 /** VMs of a zone that callers are told to use. */
@@ -26,10 +29,6 @@
 /** Older idle connections may have gone silent. */
 const REUSE_WITHIN_MS = 3000
 const HOUSEKEEPING_MS = 250
-/** A VM whose timers are later than this twice in a row is too slow to serve callers, in ms. */
-const SLOW_TIMER_MS = 80
-/** Time for which a VM that was slow counts as cold. */
-const SLOW_MEMORY_MS = 5000
 /** Most links are wanted by one of the two VMs only, so the other one does not dial. */
 const SECOND_DIAL_MS = 200
 /** Part of the grace for which a VM that stops goes on as before, until callers have new addresses. */
@@ -38,11 +37,6 @@
 const END_MARGIN_MS = 250
 /** Callers that keep an answer with addresses for longer than told keep it three times as long. */
 const KEPT_FACTOR = 3
-/** Limits before the first ruleset. */
-const FIRST_LIMITS = { headerBytes: 65_536, bodyBytes: 64 * 1024 * 1024, headerTimeMs: 5000, idleTimeMs: 30_000 } as const
-/** Longest time of a request, above every timeout of a route. */
-const REQUEST_LIMIT_MS = 120_000
-const CALLER_CONNECTIONS = 2500
 
 /** What a VM needs besides its settings. */
 export interface EdgeOptions {
@@ -85,20 +79,6 @@
   readonly entry: Entry
 }
 
-/** Limits on callers as the ruleset in force has them. */
-function createLimits (catalog: Catalog, settings: () => EdgeSettings): Limits {
-  const current = (): typeof FIRST_LIMITS | NonNullable<ReturnType<Catalog['ruleset']>>['limits'] => catalog.ruleset()?.limits ?? FIRST_LIMITS
-  return {
-    headerBytes: FIRST_LIMITS.headerBytes,
-    get bodyBytes () { return current().bodyBytes },
-    get headerTimeMs () { return current().headerTimeMs },
-    get idleTimeMs () { return current().idleTimeMs },
-    requestLimitMs: REQUEST_LIMIT_MS,
-    connections: CALLER_CONNECTIONS,
-    get stopLimitMs () { return settings().graceMs * (1 - STAY_PART) - END_MARGIN_MS }
-  }
-}
-
 /** Settings that take effect at the start only. */
 const FIXED_SETTINGS = ['vm', 'directory', 'readiness', 'admin', 'store'] as const
 
@@ -125,8 +105,8 @@
   const { vm } = settings
   let readySince: number | undefined
   let isLeaving = false
-  let slowAt = -Infinity
 
+  const speed = createSpeedWatch(HOUSEKEEPING_MS)
   const instruments = createInstruments(log, clock)
   const catalog = createCatalog(log)
   const mesh = createMesh({
@@ -146,7 +126,7 @@
     rulesetsUpTo: catalog.upTo('rulesets'),
     listingsUpTo: catalog.upTo('listings'),
     // A slow VM counts as one that has just started, so that others serve in its place.
-    readyMs: readySince === undefined || now - slowAt < SLOW_MEMORY_MS ? 0 : now - readySince
+    readyMs: readySince === undefined || speed.isSlow(now) ? 0 : now - readySince
   })
   const roster: Roster = createRoster({
     self: vm,
@@ -194,7 +174,7 @@
     dialect,
     log,
     clock,
-    limits: createLimits(catalog, () => settings)
+    limits: createLimits(catalog, () => settings.graceMs * (1 - STAY_PART) - END_MARGIN_MS)
   })
 
   const isReady = (): boolean => readySince !== undefined && !isLeaving
@@ -209,20 +189,12 @@
     return NOT_FOUND
   }
 
-  let sweptAt = Infinity
-  let lateTimers = 0
-  const watchSpeed = (now: number): void => {
-    lateTimers = now - sweptAt > HOUSEKEEPING_MS + SLOW_TIMER_MS ? lateTimers + 1 : 0
-    sweptAt = now
-    if (lateTimers < 2) return
-    if (now - slowAt > SLOW_MEMORY_MS) log.warn('vm.slow', { lateTimers })
-    slowAt = now
-    roster.announce(now)
-  }
-
   const housekeeping = Effect.forever(Effect.suspend(() => {
     const now = clock()
-    watchSpeed(now)
+    if (speed.beat(now)) {
+      log.warn('vm.slow')
+      roster.announce(now)
+    }
     catalog.sweep(now)
     quarantine.sweep(now)
     if (readySince === undefined && catalog.ruleset() !== undefined && catalog.upTo('listings') > 0) {
@@ -271,43 +243,3 @@
     return { stop, reload }
   })
 }
-
-/** Connections that this VM may hold to one target, so that all serving VMs together stay within its limit. */
-function connectionShare (catalog: Catalog, service: string, vms: number): number {
-  const limit = catalog.ruleset()?.pools.find(({ name }) => name === service)?.maxConnections ?? 1
-  // VMs that callers still use after they left the answers hold some as well.
-  return Math.max(2, Math.floor(limit / (2 * Math.max(1, vms))))
-}
-
-/** The VMs that serve callers, in the view of this VM. */
-interface ServingView {
-  /** Of all zones, this VM included. */
-  readonly all: (now: number) => readonly string[]
-  /** Of the own zone, without this VM. */
-  readonly neighbours: (now: number) => readonly string[]
-}
-
-/** Computed anew at most this often, in ms: each placed request asks for it. */
-const SERVING_VIEW_MS = 100
-
-function createServingView (roster: Roster, self: string): ServingView {
-  let computedAt = -Infinity
-  let near: readonly string[] = []
-  let all: readonly string[] = []
-  const refresh = (now: number): void => {
-    if (now - computedAt < SERVING_VIEW_MS) return
-    computedAt = now
-    near = roster.serving(now).map(({ name }) => name)
-    all = [...new Set([self, ...near, ...roster.servingElsewhere(now).map(({ name }) => name)])]
-  }
-  return {
-    all: now => {
-      refresh(now)
-      return all
-    },
-    neighbours: now => {
-      refresh(now)
-      return near.filter(name => name !== self)
-    }
-  }
-}
