Take 2.1 s without a confirmation for an outage of the store

The pending call of the stand-in still confirms for a second, so an outage of 3.2 s was seen as 2.2 s, less than the 2.5 s that counted as one. By 1.94 s the last VM of a zone has taken over.

--- a/src/following/following.ts
+++ b/src/following/following.ts
@@ -13,8 +13,8 @@
 const FEED_WAIT_MS = 1000
 /** Changes that follow each other within this time come with one call. */
 const MERGE_MS = 40
-/** Time without a confirmation from anyone that shows an outage of the store. */
-const OUTAGE_MS = 2 * TAKE_OVER_MS
+/** Time without a confirmation from anyone that shows an outage of the store: the last VM has taken over by then. */
+const OUTAGE_MS = 2100
 /** Time between two looks at whether this VM has to read. */
 const IDLE_CHECK_MS = 200
 /** Time between two requests for the same section. */
