--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -10,7 +10,7 @@
 import { createQuarantine } from '../quarantine/index.js'
 import { createRoster, type Roster, type Status } from '../roster/index.js'
 import type { Store } from '../store/index.js'
-import { jsonAnswer, NOT_FOUND, openEndpoint, type OpenFailure, type Responder } from './http-endpoint.js'
+import { closeEndpoint, jsonAnswer, NOT_FOUND, openEndpoint, type OpenFailure, type Responder } from './http-endpoint.js'
 import { createInstruments } from './instruments.js'
 import { join, VMS_PATH } from './joining.js'
 import { createLimits } from './limits.js'
@@ -208,9 +208,9 @@
   const parts: EdgeParts = { catalog, mesh, roster, following, placing, entry }
 
   return Effect.gen(function * () {
-    yield * openEndpoint('readiness', settings.readiness, options.readinessResponder(isReady), log)
-    yield * openEndpoint('admin', settings.admin, adminResponder, log)
-    yield * openEndpoint('directory', settings.directory, options.directoryResponder(addresses), log)
+    const readiness = yield * openEndpoint('readiness', settings.readiness, options.readinessResponder(isReady), log)
+    const admin = yield * openEndpoint('admin', settings.admin, adminResponder, log)
+    const directory = yield * openEndpoint('directory', settings.directory, options.directoryResponder(addresses), log)
     yield * Effect.mapError(parts.mesh.listen(), ({ detail }) => ({ endpoint: 'peers', detail }))
     yield * Effect.mapError(entry.listen(vm.callers), ({ message }) => ({ endpoint: 'callers', detail: message }))
     const tasks = [
@@ -232,6 +232,7 @@
       yield * Effect.forEach(fibers, Fiber.interrupt, { discard: true })
       yield * mesh.stop()
       store.close()
+      for (const endpoint of [readiness, admin, directory]) closeEndpoint(endpoint)
       log.info('vm.stopped')
     })
     const reload = (changed: EdgeSettings): void => {
--- a/src/edge/http-endpoint.ts
+++ b/src/edge/http-endpoint.ts
@@ -58,3 +58,9 @@
     server.listen(port, address, () => resume(Effect.succeed(server)))
   })
 }
+
+/** Closes an endpoint and its connections. */
+export function closeEndpoint (server: Server): void {
+  server.close()
+  server.closeAllConnections()
+}
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -108,11 +108,16 @@
 /** Reads the rest of a short answer that nobody receives. */
 function discardAnswer (shared: Attempted, connection: Connection, answered: Answered): void {
   const { answer } = answered
-  const length = Number(answer.headers['content-length'] ?? Infinity)
+  const length = Number(answer.headers['content-length'] ?? 0)
   if (length > DISCARDED_ANSWER_BYTES) return shared.pools.discard(connection)
   const timeout = setTimeout(() => shared.pools.discard(connection), DISCARD_LIMIT_MS)
+  let bytes = 0
+  answer.on('data', (chunk: Buffer) => {
+    bytes += chunk.byteLength
+    if (bytes > DISCARDED_ANSWER_BYTES) shared.pools.discard(connection)
+  })
   answer.once('close', () => clearTimeout(timeout))
-  answer.once('end', () => keepConnection(shared, connection, answered)).resume()
+  answer.once('end', () => keepConnection(shared, connection, answered))
 }
 
 const runAttempt = Effect.fnUntraced(function * (
