Keep connections to targets for as long as the targets say, and reuse fresh ones for retries

Cause: idle connections were closed after 4 s whatever the target said. A target that keeps them for 3 s would close one under a request that must not run twice; one that keeps them for 10 s was connected to anew. Each retry opened a connection.

Change: a connection is kept for 0.8 of the time in Keep-Alive, at most 15 s, and 4 s when the target says nothing. A retry takes a connection whose last exchange ended within 500 ms.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -7,7 +7,7 @@
 import type { Exchange } from './exchange.js'
 import { collect, NOTHING_COLLECTED, type Collected, type CollectFailure } from './collect.js'
 import type { Dialect, ForwardedRequest, Judgement } from './dialect.js'
-import { endToEnd, tokensOf } from './headers.js'
+import { endToEnd, keptForMsOf, tokensOf } from './headers.js'
 import type { Connection, NoConnection, Pools } from './pool.js'
 import type { ParsedRequest } from './request.js'
 import { send, type Answered } from './send.js'
@@ -100,9 +100,10 @@
 /** Keeps the connection of an exchange that ended cleanly in both directions. */
 function keepConnection ({ pools, clock }: Attempted, connection: Connection, { answer, outgoing }: Answered): void {
   if (!answer.complete || !outgoing.writableFinished || !outgoing.shouldKeepAlive) return pools.discard(connection)
+  const keptForMs = keptForMsOf(answer.headers['keep-alive'])
   // Node detaches from the connection before this event, which may lie behind an answer that was read ahead.
-  if (outgoing.closed) return pools.release(connection, clock())
-  outgoing.once('close', () => pools.release(connection, clock()))
+  if (outgoing.closed) return pools.release(connection, clock(), keptForMs)
+  outgoing.once('close', () => pools.release(connection, clock(), keptForMs))
 }
 
 /** Reads the rest of a short answer that nobody receives. */
--- a/src/entry/attempts.test.ts
+++ b/src/entry/attempts.test.ts
@@ -213,6 +213,38 @@
   }, { overrides: { clock: () => performance.now() + ahead } })
 })
 
+interface KeptCase {
+  readonly stated: string | undefined
+  readonly pauseMs: number
+  readonly isReused: boolean
+}
+
+const KEPT: readonly KeptCase[] = [
+  { stated: undefined, pauseMs: 3500, isReused: true },
+  { stated: undefined, pauseMs: 4500, isReused: false },
+  { stated: 'timeout=1', pauseMs: 600, isReused: true },
+  { stated: 'timeout=1', pauseMs: 900, isReused: false },
+  { stated: 'timeout=10, max=5', pauseMs: 7500, isReused: true },
+  { stated: 'timeout=10', pauseMs: 9000, isReused: false },
+  { stated: 'timeout=0', pauseMs: 50, isReused: false },
+  { stated: 'max=5', pauseMs: 3500, isReused: true }
+]
+
+for (const { stated, pauseMs, isReused } of KEPT) {
+  // Guards against a request that crosses the target's close, and against a new connection where the old one is still good.
+  attempts(`a connection with Keep-Alive ${stated ?? 'unstated'} is ${isReused ? '' : 'not '}used after ${pauseMs} ms`, () => {
+    const accepted: Socket[] = []
+    let ahead = 0
+    const answer = stated === undefined ? OK : OK.replace('\r\n', `\r\nKeep-Alive: ${stated}\r\n`)
+    return withTargets([startSayingTarget(answer, accepted)], async test => {
+      await sendAndRead(test.port, GET)
+      ahead += pauseMs
+      await sendAndRead(test.port, GET)
+      assert.is(accepted.length, isReused ? 1 : 2)
+    }, { overrides: { clock: () => performance.now() + ahead } })
+  })
+}
+
 const ANSWER_MS = 50
 
 function classOf (deadlineMs: number): readonly Class[] {
--- a/src/entry/forward.ts
+++ b/src/entry/forward.ts
@@ -21,6 +21,8 @@
 const STALL_LATENCY_FACTOR = 8
 /** A pause of a target, for example to collect garbage, is no reason to give up a connection. */
 const STALL_MIN_MS = 250
+/** A retry has little time left, so it takes a connection that carried an answer just now, or a new one. */
+const RETRY_REUSE_WITHIN_MS = 500
 /** Leaves as much time for the retry as the stalled attempt took. */
 const STALL_DEADLINE_SHARE = 0.5
 
@@ -73,9 +75,9 @@
     return hasToken
   }
 
-  /** Oldest end of the last exchange of a suitable connection; a retry takes a new one. */
+  /** Oldest end of the last exchange of a suitable connection. */
   const idleSince = (now: number): number => {
-    if (exchange.attempts() > 1) return Infinity
+    if (exchange.attempts() > 1) return now - RETRY_REUSE_WITHIN_MS
     return route.class.idempotent ? -Infinity : now - reuseWithinMs
   }
 
--- a/src/entry/headers.ts
+++ b/src/entry/headers.ts
@@ -39,6 +39,17 @@
   return values.flatMap(value => value.split(',')).map(token => token.trim().toLowerCase()).filter(Boolean)
 }
 
+/**
+ * Time for which the sender of a `Keep-Alive` field keeps an idle connection, in ms; undefined when it states none.
+ *
+ * @example
+ * keptForMsOf('timeout=5, max=100') // 5000
+ */
+export function keptForMsOf (field: string | readonly string[] | undefined): number | undefined {
+  const seconds = /(?:^|[\s,;])timeout=(\d+)/i.exec(String(field ?? ''))?.[1]
+  return seconds === undefined ? undefined : Number(seconds) * 1000
+}
+
 /**
  * Removes the hop-by-hop fields, also those that `Connection` names, and the
  * fields of `removed`.
--- a/src/entry/pool.ts
+++ b/src/entry/pool.ts
@@ -31,8 +31,12 @@
 export interface Pools {
   /** Takes an idle connection or opens one; waits while the limit is reached. */
   readonly acquire: (wanted: Wanted, now: number) => Effect.Effect<Connection, NoConnection>
-  /** Returns a connection whose exchange ended cleanly. */
-  readonly release: (connection: Connection, now: number) => void
+  /**
+   * Returns a connection whose exchange ended cleanly.
+   *
+   * @param keptForMs time for which the target said that it keeps the connection; undefined if it said nothing
+   */
+  readonly release: (connection: Connection, now: number, keptForMs?: number) => void
   /** Destroys a connection. */
   readonly discard: (connection: Connection) => void
   /** Destroys a connection that went silent, and the older idle ones to its target. */
@@ -55,10 +59,16 @@
 const CONNECT_TIMEOUT_MS = 1500
 /** Shorter than the usual keep-alive limit of servers, so the target rarely closes first. */
 const IDLE_CONNECTION_MS = 4000
+/** Longest time for which an idle connection is kept, whatever its target says. */
+const IDLE_CONNECTION_MAX_MS = 15_000
+/** Part of the time stated by the target after which this VM closes first: a request must not cross the target's close. */
+const KEPT_PART = 0.8
 
 interface Idle {
   readonly connection: Connection
   readonly since: number
+  /** End of the time in which the target will not close the connection. */
+  readonly until: number
   /** Removes the listeners that watch the idle connection. */
   readonly unwatch: () => void
 }
@@ -78,6 +88,11 @@
   waiters: Waiter[]
 }
 
+/** How long a connection is kept without a request, in ms. */
+function idleMs (keptForMs: number | undefined): number {
+  return keptForMs === undefined ? IDLE_CONNECTION_MS : Math.min(IDLE_CONNECTION_MAX_MS, keptForMs * KEPT_PART)
+}
+
 function keyOf (service: string, target: Target): string {
   // A target may return under its old id at another address.
   return `${service}/${target.id}/${target.address}:${target.port}`
@@ -152,21 +167,21 @@
   }
 
   /** An idle connection that ends, fails or sends bytes without a request is not used again. */
-  const watch = (pool: Pool, connection: Connection, now: number): Idle => {
+  const watch = (pool: Pool, connection: Connection, now: number, keptForMs: number | undefined): Idle => {
     const { socket } = connection
     const drop = (): void => discardIdle(pool, entry)
     const events = ['data', 'end', 'error', 'close'] as const
     for (const event of events) socket.on(event, drop)
     socket.resume()
     const unwatch = (): void => { for (const event of events) socket.off(event, drop) }
-    const entry: Idle = { connection, since: now, unwatch }
+    const entry: Idle = { connection, since: now, until: now + idleMs(keptForMs), unwatch }
     return entry
   }
 
-  const takeIdle = (pool: Pool, idleSince: number): Connection | undefined => {
+  const takeIdle = (pool: Pool, idleSince: number, now: number): Connection | undefined => {
     // The most recently used one is the least likely to be closed by the target.
     const entry = pool.idle.at(-1)
-    if (entry === undefined || entry.since < idleSince) return undefined
+    if (entry === undefined || entry.since < idleSince || entry.until < now) return undefined
     pool.idle.pop()
     entry.unwatch()
     return { ...entry.connection, isReused: true }
@@ -208,7 +223,7 @@
 
   const acquire = (wanted: Wanted, now: number): Effect.Effect<Connection, NoConnection> => Effect.suspend(() => {
     const pool = findPool(wanted.service, wanted.target)
-    const idle = takeIdle(pool, wanted.idleSince)
+    const idle = takeIdle(pool, wanted.idleSince, now)
     if (idle !== undefined) return Effect.succeed(idle)
     // An unsuitable idle connection makes room for a new one.
     const oldest = pool.idle[0]
@@ -219,13 +234,13 @@
     )
   })
 
-  const release = (connection: Connection, now: number): void => {
+  const release: Pools['release'] = (connection, now, keptForMs) => {
     const pool = poolOf.get(connection.socket)
     const { socket } = connection
     if (pool === undefined) return
     const isUsable = !socket.destroyed && socket.writable && socket.readable
     if (isClosed || !isUsable || pool.count > options.connectionLimit(pool.service, pool.target.id, now)) return discard(connection)
-    pool.idle.push(watch(pool, connection, now))
+    pool.idle.push(watch(pool, connection, now, keptForMs))
     pool.waiters.shift()?.wake()
   }
 
@@ -236,9 +251,9 @@
     for (const entry of older) discardIdle(pool as Pool, entry)
   }
 
-  const discardIdleBefore = (time: number): void => {
+  const discardIdleUntil = (time: number): void => {
     for (const [key, pool] of pools) {
-      for (const entry of pool.idle.filter(each => each.since < time)) discardIdle(pool, entry)
+      for (const entry of pool.idle.filter(({ until }) => until < time)) discardIdle(pool, entry)
       if (pool.count === 0 && pool.waiters.length === 0) pools.delete(key)
     }
   }
@@ -249,12 +264,12 @@
     discard,
     discardSilent,
     sweep: now => {
-      discardIdleBefore(now - IDLE_CONNECTION_MS)
+      discardIdleUntil(now)
       for (const pool of pools.values()) if (hasRoom(pool, now)) pool.waiters.shift()?.wake()
     },
     close: () => {
       isClosed = true
-      discardIdleBefore(Infinity)
+      discardIdleUntil(Infinity)
     },
     openConnections: () => [...pools.values()].reduce((sum, pool) => sum + pool.count, 0)
   }
