Tell VMs of other zones of the load of targets when a zone is pressed (trial)

Cause: VMs knew only the load that VMs of their own zone put on a target.

Change: when 0.4 of a zone's sound slots are taken, its VMs tell the serving VMs of other zones of their load 5 times a second. Another zone's target is chosen when it is 0.7 (before 0.5) of its slots less loaded.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -147,6 +147,7 @@
     mesh,
     servingVMs: servingVMs.all,
     neighbours: servingVMs.neighbours,
+    farServing: servingVMs.far,
     retries: () => settings.retries,
     observe: (observation, now) => {
       quarantine.observe(observation, now)
--- a/src/edge/serving-view.ts
+++ b/src/edge/serving-view.ts
@@ -8,6 +8,8 @@
   readonly all: (now: number) => readonly string[]
   /** Of the own zone, without this VM. */
   readonly neighbours: (now: number) => readonly string[]
+  /** Of other zones. */
+  readonly far: (now: number) => readonly string[]
 }
 
 /** Computed anew at most this often, in ms: each placed request asks for it. */
@@ -17,12 +19,14 @@
 export function createServingView (roster: Roster, self: string): ServingView {
   let computedAt = -Infinity
   let near: readonly string[] = []
+  let far: readonly string[] = []
   let all: readonly string[] = []
   const refresh = (now: number): void => {
     if (now - computedAt < VIEW_MS) return
     computedAt = now
     near = roster.serving(now).map(({ name }) => name)
-    all = [...new Set([self, ...near, ...roster.servingElsewhere(now).map(({ name }) => name)])]
+    far = roster.servingElsewhere(now).map(({ name }) => name)
+    all = [...new Set([self, ...near, ...far])]
   }
   return {
     all: now => {
@@ -32,6 +36,10 @@
     neighbours: now => {
       refresh(now)
       return near.filter(name => name !== self)
+    },
+    far: now => {
+      refresh(now)
+      return far
     }
   }
 }
--- a/src/placing/choose.ts
+++ b/src/placing/choose.ts
@@ -50,7 +50,7 @@
 }
 
 /** Bytes between zones are paid for, so a target in another zone is chosen when it is this much less loaded. */
-const FAR_PENALTY = 0.5
+const FAR_PENALTY = 0.7
 /** Weight of the time since a target's last success: the longer, the more likely it turned bad unnoticed. */
 const UNPROVEN_WEIGHT = 0.25
 /** Time since the last success at which the weight is complete, in ms. */
--- a/src/placing/placing.ts
+++ b/src/placing/placing.ts
@@ -8,15 +8,17 @@
 import { expectedWaitMs, goesBefore, inOrder, latestStart, returnAfterMs, shouldWait, type Waiting } from './line.js'
 import { loadsChannel } from './messages.js'
 import { createRetryBudget, type RetryAllowance, type RetryBudget } from './retry-budget.js'
+import { createSharing, type SharingPace } from './sharing.js'
 import { createTargets, type Targets } from './targets.js'
 
 /** Time between two looks at those who wait, and while nothing runs. */
 const SWEEP_MS = 25
 const IDLE_SWEEP_MS = 400
-/** Time between two messages about the own load. */
-const SHARE_LOADS_MS = 100
-/** An unchanged load is told again after this time, before others forget it. */
-const REPEAT_LOADS_MS = 300
+/** Pace of messages about the own load, in and between zones. */
+const NEAR_PACE: SharingPace = { changedMs: 100, unchangedMs: 300 }
+const FAR_PACE: SharingPace = { changedMs: 200, unchangedMs: 400 }
+/** Use of the zone's sound slots from which VMs of other zones are told of the load: bytes between zones are paid for. */
+const PRESSED_USE = 0.4
 const PRUNE_MS = 5000
 /** Time over which the rate of ending requests is measured, in ms. */
 const RATE_WINDOW_MS = 2000
@@ -35,6 +37,8 @@
 /** Time after its hold at which a suspect target is tried with a request that must not run twice, in ms. */
 const RISKY_TRIAL_MS = { onlyWay: 1500, scarce: 500 } as const
 
+const NONE: ReadonlySet<string> = new Set()
+
 /** Places requests. */
 export interface Placing extends Admission {
   /** Takes one repeat of a service from the budget; false when there is none. */
@@ -43,7 +47,9 @@
   readonly earnRetry: (service: string, now: number) => void
   /** Usual latency of a class in ms; undefined while it is not known. */
   readonly usualMs: (service: string, className: string) => number | undefined
-  /** Looks after those who wait and tells other VMs of the load; runs until interrupted. */
+  /** Looks after those who wait and tells other VMs of the load. */
+  readonly sweep: (now: number) => void
+  /** Sweeps until interrupted. */
   readonly maintain: Effect.Effect<never>
   readonly targets: Targets
   readonly waiting: (service: string) => number
@@ -59,6 +65,8 @@
   readonly servingVMs: (now: number) => readonly string[]
   /** Names of those of the own zone, without this VM. */
   readonly neighbours: (now: number) => readonly string[]
+  /** Names of those of other zones. */
+  readonly farServing: (now: number) => readonly string[]
   readonly retries: () => RetryAllowance
   /** Receives the outcome of each attempt. */
   readonly observe: (observation: Observation, now: number) => void
@@ -100,12 +108,16 @@
   return { id, address, port, place: zone, slots, connections }
 }
 
+/** Part of the candidates' slots that is taken; Infinity without slots. */
+function useOf (candidates: readonly Candidate[]): number {
+  const slots = candidates.reduce((sum, { listing }) => sum + listing.slots, 0)
+  const load = candidates.reduce((sum, candidate) => sum + candidate.load, 0)
+  return slots > 0 ? load / slots : Infinity
+}
+
 /** Whether most slots of the sound targets are taken. */
 function isScarce (candidates: readonly Candidate[]): boolean {
-  const sound = candidates.filter(({ phase }) => phase === 'sound')
-  const slots = sound.reduce((sum, { listing }) => sum + listing.slots, 0)
-  const load = sound.reduce((sum, candidate) => sum + candidate.load, 0)
-  return load >= SCARCE_USE * slots
+  return useOf(candidates.filter(({ phase }) => phase === 'sound')) >= SCARCE_USE
 }
 
 /**
@@ -288,16 +300,23 @@
     return Effect.sync(() => drop(line, entry))
   })
 
-  let sharedAt = -Infinity
-  let shared = ''
+  const shareNear = createSharing(targets.loads, mesh, NEAR_PACE)
+  const shareFar = createSharing(targets.loads, mesh, FAR_PACE)
+  /** Whether requests of a service go to targets of other zones soon, or do already. */
+  const isZonePressed = (service: string, now: number): boolean => {
+    const sound = targets.candidates(service, NONE, now).filter(({ phase, listing }) => phase === 'sound' && listing.zone === zone)
+    return useOf(sound) >= PRESSED_USE
+  }
+  let pressure = { checkedAt: -Infinity, isPressed: false }
+  const isPressed = (now: number): boolean => {
+    if (now - pressure.checkedAt >= FAR_PACE.changedMs) {
+      pressure = { checkedAt: now, isPressed: [...lines.keys()].some(service => isZonePressed(service, now)) }
+    }
+    return pressure.isPressed
+  }
   const shareLoads = (now: number): void => {
-    const loads = targets.loads.pack(now)
-    const text = JSON.stringify(loads)
-    if (now - sharedAt < (text === shared ? REPEAT_LOADS_MS : SHARE_LOADS_MS)) return
-    if (text === shared && loads.length === 0) return
-    sharedAt = now
-    shared = text
-    for (const vm of options.neighbours(now)) mesh.send(vm, loadsChannel, loads)
+    shareNear(options.neighbours(now), now)
+    if (isPressed(now)) shareFar(options.farServing(now), now)
   }
 
   mesh.subscribe(loadsChannel, (from, loads) => targets.loads.take(from.vm, loads, clock()))
@@ -317,6 +336,7 @@
     takeRetry: (service, now) => lineOf(service).budget.take(vmCount(now), now),
     earnRetry: (service, now) => lineOf(service).budget.earn(now),
     usualMs: (service, className) => targets.latenciesOf(service).usualMs(className),
+    sweep,
     maintain: Effect.forever(Effect.suspend(() => {
       sweep(clock())
       const isBusy = running.size > 0 || [...lines.values()].some(({ entries }) => entries.length > 0)
