--- a/src/placing/loads.ts
+++ b/src/placing/loads.ts
@@ -19,6 +19,8 @@
   readonly take: (vm: string, loads: Loads, now: number) => void
   /** Own requests and recent successes as a message. */
   readonly pack: (now: number) => Loads
+  /** Own requests alone, as a shorter message. */
+  readonly packCounts: () => Loads
   readonly retain: (isKnown: (target: string) => boolean) => void
 }
 
@@ -66,6 +68,7 @@
       return [...new Set([...own.keys(), ...recent])].map(target =>
         [target, own.get(target) ?? 0, Math.min(TOLD_PROOF_MS + 1, Math.round(now - (ownProof.get(target) ?? -Infinity)))] as const)
     },
+    packCounts: () => [...own].map(([target, count]) => [target, count, TOLD_PROOF_MS + 1] as const),
     retain: isKnown => { for (const known of [ownProof, proof]) for (const target of known.keys()) if (!isKnown(target)) known.delete(target) }
   }
 }
--- a/src/placing/placing.ts
+++ b/src/placing/placing.ts
@@ -15,8 +15,8 @@
 const SWEEP_MS = 25
 const IDLE_SWEEP_MS = 400
 /** Pace of messages about the own load, in and between zones. */
-const NEAR_PACE: SharingPace = { changedMs: 100, unchangedMs: 300 }
-const FAR_PACE: SharingPace = { changedMs: 200, unchangedMs: 400 }
+const NEAR_PACE: SharingPace = { changedMs: 50, unchangedMs: 300 }
+const FAR_PACE: SharingPace = { changedMs: 100, unchangedMs: 400 }
 /** Use of the zone's sound slots from which VMs of other zones are told of the load: bytes between zones are paid for. */
 const PRESSED_USE = 0.4
 const PRUNE_MS = 5000
@@ -300,8 +300,8 @@
     return Effect.sync(() => drop(line, entry))
   })
 
-  const shareNear = createSharing(targets.loads, mesh, NEAR_PACE)
-  const shareFar = createSharing(targets.loads, mesh, FAR_PACE)
+  const shareNear = createSharing(mesh, NEAR_PACE, targets.loads.pack)
+  const shareFar = createSharing(mesh, FAR_PACE, targets.loads.packCounts)
   /** Whether requests of a service go to targets of other zones soon, or do already. */
   const isZonePressed = (service: string, now: number): boolean => {
     const sound = targets.candidates(service, NONE, now).filter(({ phase, listing }) => phase === 'sound' && listing.zone === zone)
--- a/src/placing/sharing.ts
+++ b/src/placing/sharing.ts
@@ -1,7 +1,6 @@
 /** Tells other VMs of the own load, no more often than it is of use to them. */
 import type { Mesh } from '../model/index.js'
-import type { TargetLoads } from './loads.js'
-import { loadsChannel } from './messages.js'
+import { loadsChannel, type Loads } from './messages.js'
 
 /** How often VMs are told, in ms. */
 export interface SharingPace {
@@ -11,13 +10,13 @@
   readonly unchangedMs: number
 }
 
-/** Creates a function that tells `vms` of the load, if it is time. */
-export function createSharing (loads: TargetLoads, mesh: Mesh, { changedMs, unchangedMs }: SharingPace): (vms: readonly string[], now: number) => void {
+/** Creates a function that tells `vms` what `pack` returns, if it is time. */
+export function createSharing (mesh: Mesh, { changedMs, unchangedMs }: SharingPace, pack: (now: number) => Loads): (vms: readonly string[], now: number) => void {
   let sentAt = -Infinity
   let sent = ''
   return (vms, now) => {
     if (now - sentAt < changedMs) return
-    const counts = loads.pack(now)
+    const counts = pack(now)
     const text = JSON.stringify(counts)
     const isUnchanged = text === sent
     if (isUnchanged && (counts.length === 0 || now - sentAt < unchangedMs)) return
