Let VMs prefer different targets, and count requests as on time for longer

Targets that have just started are slow, 1.5 times the usual latency was nearly the objective, and the little time left was less than the wait.

Change: 1.2 usual latencies count as on time. VMs order equal targets by a hash of their own, so that they do not take the same free slot before they hear of each other, and come back over the same connections.

--- a/src/placing/choose.test.ts
+++ b/src/placing/choose.test.ts
@@ -16,6 +16,7 @@
     slowness: 1,
     provenAgeMs: 100,
     isOnTrial: false,
+    affinity: 0,
     trialDelayMs: 0,
     ...over
   }
--- a/src/placing/choose.ts
+++ b/src/placing/choose.ts
@@ -23,6 +23,8 @@
   readonly provenAgeMs: number
   /** Whether a request of this VM tries it now. */
   readonly isOnTrial: boolean
+  /** Order of the targets that differs from VM to VM; uniform in [0, 1). */
+  readonly affinity: number
   /** Time by which this VM waits longer than the first one before it tries the target, in ms. */
   readonly trialDelayMs: number
 }
@@ -61,7 +63,9 @@
 const ABOVE_PACKED = 0.15
 /** Weight of the load of a target below that part. */
 const PACKED_WEIGHT = 0.5
-/** Breaks ties, so that VMs do not choose alike. */
+/** VMs that know the same loads choose different targets, and come back to them over the same connections. */
+const AFFINITY_WEIGHT = 0.2
+/** Breaks ties. */
 const JITTER = 0.02
 
 function isTrialDue ({ phase, overdueMs, isOnTrial, trialDelayMs }: Candidate, afterMs: number): boolean {
@@ -87,7 +91,7 @@
   const distance = listing.zone === choice.zone ? 0 : FAR_PENALTY
   const unproven = UNPROVEN_WEIGHT * Math.min(1, provenAgeMs / UNPROVEN_MS)
   // A request that can be repeated finds out; another one avoids the risk.
-  return use + distance + (choice.idempotent ? -unproven : unproven) + JITTER * choice.random()
+  return use + distance + (choice.idempotent ? -unproven : unproven) + AFFINITY_WEIGHT * candidate.affinity + JITTER * choice.random()
 }
 
 function best (candidates: readonly Candidate[], score: (candidate: Candidate) => number): Candidate | undefined {
--- a/src/placing/line.ts
+++ b/src/placing/line.ts
@@ -18,7 +18,7 @@
 }
 
 /** Times are spread around the usual one, so that much more is needed to be on time in most cases. */
-const TIME_FACTOR = 1.5
+const TIME_FACTOR = 1.2
 /** Part of the time to its latest start that a request may be expected to wait. */
 const WAIT_SHARE = 0.8
 /** Shortest and longest time to come back, in ms. */
--- a/src/placing/targets.ts
+++ b/src/placing/targets.ts
@@ -52,6 +52,9 @@
   readonly log: Log
 }
 
+/** `hashText` is below it. */
+const HASH_RANGE = 2 ** 32
+
 const SEVERITY: Readonly<Record<Phase, number>> = { sound: 0, due: 1, held: 2 }
 
 /** Creates beliefs without any evidence: every target is sound. */
@@ -144,6 +147,13 @@
     return TRIAL_STEP_MS * before.length
   }
 
+  const affinities = new Map<string, number>()
+  const affinityOf = (target: string): number => {
+    const known = affinities.get(target) ?? hashText(`affinity\n${target}\n${self}`) / HASH_RANGE
+    affinities.set(target, known)
+    return known
+  }
+
   const candidateOf = (listing: Listing, now: number): Candidate => {
     const { id } = listing
     const phase = phaseOf(id, now)
@@ -157,6 +167,7 @@
       slowness: Math.max(warmth, latenciesOf(listing.service).slowness(id, now)),
       provenAgeMs: now - loads.provenAt(id),
       isOnTrial: trials.has(id),
+      affinity: affinityOf(id),
       trialDelayMs: isSharedTrial ? trialDelayMs(id, now) : 0
     }
   }
@@ -195,7 +206,7 @@
       const isKnown = (target: string): boolean => catalog.find(target) !== undefined
       for (const standings of all) standings.retain(isKnown)
       loads.retain(isKnown)
-      for (const known of [brokenAt, incarnations]) for (const id of known.keys()) if (!isKnown(id)) known.delete(id)
+      for (const known of [brokenAt, incarnations, affinities]) for (const id of known.keys()) if (!isKnown(id)) known.delete(id)
     }
   }
 }
