Explain failed requests from log lines alone

camphorbay explain log ID [FILE...] follows a request through the lines of all VMs to one of a closed list of causes, also from a pipe.

--- a/src/cli/cli.test.ts
+++ b/src/cli/cli.test.ts
@@ -1,7 +1,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { PassThrough } from 'node:stream'
+import { PassThrough, Readable } from 'node:stream'
 import { Effect } from 'effect'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -31,15 +31,18 @@
 const noteFile = join(folder, 'note.json')
 const goodNoteFile = join(folder, 'good-note.json')
 const badSettings = join(folder, 'settings.json')
+const logFile = join(folder, 'vm-1.log')
 writeFileSync(tokenFile, `${token}\n`)
 writeFileSync(noteFile, '{}')
 writeFileSync(goodNoteFile, '{"id":"n-1","base":1,"withdrawn":{"routes":["r-1"]}}')
 writeFileSync(badSettings, '{"vm":{}}')
+const logLine = '{"time":"2026-01-01T00:00:00.000Z","event":"request.refused","vm":"vm-1","requestId":"a-1","kind":"no-target","detail":"the service has no target"}'
+writeFileSync(logFile, `${logLine}\n`)
 
-async function run (args: readonly string[]): Promise<{ code: number, out: string, err: string }> {
+async function run (args: readonly string[], input = ''): Promise<{ code: number, out: string, err: string }> {
   const stdout = new PassThrough()
   const stderr = new PassThrough()
-  const code = await createCli().run([...args], { env: {}, stdin: process.stdin, stdout, stderr, colorDepth: 1 })
+  const code = await createCli().run([...args], { env: {}, stdin: Readable.from([input]), stdout, stderr, colorDepth: 1 })
   return { code, out: String(stdout.read() ?? ''), err: String(stderr.read() ?? '') }
 }
 
@@ -60,6 +63,8 @@
   readonly name: string
   readonly args: readonly string[]
   readonly withAccess?: boolean
+  /** What the command reads from its standard input. */
+  readonly input?: string
   readonly code: number
   readonly out?: RegExp
   readonly err?: RegExp
@@ -79,12 +84,16 @@
   { name: 'a missing VM exits 2', args: ['state', '--token-file', tokenFile], withAccess: false, code: 2, err: /--vm/ },
   { name: 'a missing token exits 2', args: ['state', '--vm', 'http://127.0.0.1:1'], withAccess: false, code: 2, err: /token/ },
   { name: 'wrong settings exit 2', args: ['settings', 'check', badSettings], withAccess: false, code: 2, err: /vm\.name: found nothing/ },
+  { name: 'a failed request is explained from a log file', args: ['explain', 'log', 'a-1', logFile], withAccess: false, code: 0, out: /no-target: the service has no target[^]*vm-1 {2}request\.refused/ },
+  { name: 'and from the standard input, as JSON', args: ['explain', 'log', 'a-1', '--json'], withAccess: false, input: logLine, code: 0, out: /"cause": "no-target"/ },
+  { name: 'a request without a line exits 1', args: ['explain', 'log', 'a-2', logFile], withAccess: false, code: 1, err: /no line tells of the request a-2/ },
+  { name: 'a log file that does not exist exits 2', args: ['explain', 'log', 'a-1', `${logFile}.none`], withAccess: false, code: 2, err: /no such file/ },
   { name: 'help has examples', args: ['note', 'submit', '--help'], withAccess: false, code: 0, out: /camphorbay note submit spring\.json/ }
 ]
 
-for (const { name, args, withAccess = true, code, out, err } of cases) {
+for (const { name, args, withAccess = true, input, code, out, err } of cases) {
   cli(name, async () => {
-    const result = await run(withAccess ? [...args, ...access] : args)
+    const result = await run(withAccess ? [...args, ...access] : args, input)
     assert.is(result.code, code, result.out + result.err)
     if (out !== undefined) assert.match(result.out, out)
     if (err !== undefined) assert.match(result.err, err)
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -1,5 +1,6 @@
 import { Builtins, Cli, type BaseContext } from 'clipanion'
 import { ConfigurationCommand } from './configuration.js'
+import { ExplainLogCommand } from './explain-log.js'
 import { ExplainRequestCommand } from './explain-request.js'
 import { ExplainServiceCommand } from './explain-service.js'
 import { ExplainTargetCommand } from './explain-target.js'
@@ -26,7 +27,8 @@
   ConfigurationCommand,
   ExplainServiceCommand,
   ExplainTargetCommand,
-  ExplainRequestCommand
+  ExplainRequestCommand,
+  ExplainLogCommand
 ] as const
 
 /** Creates the command line with all its commands. */
