Measure what edge VMs spend by size, and play the floor without a network

measure/capacity gets the catalog by targets and rules, one placed request by targets, and log lines.

--- /dev/null
+++ b/measure/capacity/edge.ts
@@ -0,0 +1,153 @@
+/** What a VM spends that keeps its configuration and targets in a store. */
+import { Writable } from 'node:stream'
+import { Effect } from 'effect'
+import { createCatalog, type Catalog, type Change, type Rule } from '../../src/catalog/index.js'
+import { createBoundedWriter, createLog, type Log } from '../../src/log/index.js'
+import type { Mesh } from '../../src/model/index.js'
+import { createPlacing } from '../../src/placing/index.js'
+import type { Measurement } from './measurement.js'
+import { measureHeap, measureTime } from './probe.js'
+
+const SILENT: Log = { info: () => {}, warn: () => {}, error: () => {} }
+const NO_LINKS: Mesh = { contacts: () => [], subscribe: () => {}, send: () => false }
+const SERVICE = 'service-1'
+const SLOTS = 4
+
+function listings (count: number, services = 1): readonly Change[] {
+  return Array.from({ length: count }, (_, index): Change => {
+    const id = `i-${index.toString(16).padStart(10, '0')}`
+    const service = `service-${1 + index % services}`
+    const listing = { id, service, address: `10.${index % 200}.64.35`, port: 8582, zone: `zone-${index % 3}`, slots: SLOTS, draining: false, warmupMs: 0, startedAt: index }
+    return { version: index + 1, entry: { kind: 'listing', id, listing } }
+  })
+}
+
+function rules (count: number): readonly Rule[] {
+  return Array.from({ length: count }, (_, index): Rule => ({
+    name: `rule-${index}`,
+    host: `host-${index % 1000}.example`,
+    prefix: `/path-${index}/`,
+    idempotent: index % 2 === 0,
+    branches: [{ service: SERVICE, weight: 1 }],
+    maxAttempts: 3,
+    timeoutMs: 2000,
+    objectiveMs: 800,
+    priority: 1
+  }))
+}
+
+function createFilled (changes: readonly Change[], section: 'listings' | 'rulesets'): Catalog {
+  const catalog = createCatalog(SILENT)
+  catalog.apply({ section, changes, after: undefined, upTo: changes.length }, 0)
+  return catalog
+}
+
+const rulesetChange = (count: number): Change => ({
+  version: 1,
+  entry: {
+    kind: 'ruleset',
+    ruleset: {
+      version: 1,
+      rules: rules(count),
+      pools: [{ name: SERVICE, healthPath: '/', maxConnections: 100 }],
+      limits: { headerBytes: 8192, bodyBytes: 1e6, headerTimeMs: 5000, idleTimeMs: 60_000 }
+    }
+  }
+})
+
+/** The targets that a VM knows. */
+export const catalogByListings: Measurement = {
+  name: 'catalog-listings',
+  by: 'targets',
+  sizes: [1500, 15_000, 150_000],
+  quickSizes: [10, 20, 40],
+  run: count => {
+    const changes = listings(count, Math.ceil(count / 23))
+    const { bytes, value: catalog } = measureHeap(() => createFilled(changes, 'listings'))
+    const [first] = changes
+    let version = count
+    const change = (): boolean => catalog.apply({ section: 'listings', changes: [{ version: ++version, entry: (first as Change).entry }], after: version - 1, upTo: version }, 0)
+    return [
+      { measure: 'heap', unit: 'B', value: bytes },
+      { measure: 'change', unit: 'us', value: measureTime(change) }
+    ]
+  }
+}
+
+/** The rules that a VM knows. */
+export const catalogByRules: Measurement = {
+  name: 'catalog-rules',
+  by: 'rules',
+  sizes: [1000, 10_000, 110_000],
+  quickSizes: [10, 20, 40],
+  run: count => {
+    const change = rulesetChange(count)
+    const { bytes, value: catalog } = measureHeap(() => createFilled([change], 'rulesets'))
+    return [
+      { measure: 'heap', unit: 'B', value: bytes },
+      { measure: 'find', unit: 'us', value: measureTime(turn => catalog.rules().find(`host-${turn % 1000}.example`, `/path-${turn % count}/x`)) },
+      { measure: 'replace', unit: 'us', value: measureTime(() => createFilled([change], 'rulesets')) }
+    ]
+  }
+}
+
+/** One request that is placed and answered. */
+export const placingByTargets: Measurement = {
+  name: 'placing-targets',
+  by: 'targets',
+  sizes: [8, 32, 128, 512],
+  quickSizes: [2, 4, 8],
+  run: count => {
+    const placing = createPlacing({
+      self: 'vm-1',
+      zone: 'zone-0',
+      catalog: createFilled(listings(count), 'listings'),
+      mesh: NO_LINKS,
+      servingVMs: () => ['vm-1'],
+      neighbours: () => [],
+      farServing: () => [],
+      retries: () => ({ ratio: 0.2, windowMs: 10_000, slack: 64 }),
+      observe: () => {},
+      random: Math.random,
+      log: SILENT,
+      clock: () => performance.now()
+    })
+    const place = (turn: number): void => {
+      const now = performance.now()
+      const wanted = {
+        service: SERVICE,
+        class: 'read',
+        caller: 'c',
+        requestId: 'r',
+        deadlineAt: now + 1000,
+        objectiveAt: now + 500,
+        idempotent: turn % 2 === 0,
+        priority: 1,
+        avoid: new Set<string>(),
+        avoidPlaces: new Set<string>()
+      }
+      Effect.runSync(placing.acquire(wanted, now)).release({
+        requestId: 'r', service: SERVICE, target: '', class: 'read', result: 'answered', latencyMs: 1, fingerprint: ''
+      }, now)
+    }
+    return [{ measure: 'place', unit: 'us', value: measureTime(place) }]
+  }
+}
+
+/** Lines of a second at the bound. */
+export const logByLines: Measurement = {
+  name: 'log-lines',
+  by: 'lines/s',
+  sizes: [30, 100, 300],
+  quickSizes: [10, 20, 40],
+  run: count => {
+    let now = 0
+    const discard = new Writable({ write: (_chunk, _encoding, done) => { done() } })
+    const log = createLog({ vm: 'vm-1' }, createBoundedWriter(discard, () => now))
+    const writeSecond = (): void => {
+      now += 1000
+      for (let index = 0; index < count; index++) log.info('verdict.heard', { target: 'i-0000000001', from: 'vm-2', failed: true })
+    }
+    return [{ measure: 'second', unit: 'us', value: measureTime(writeSecond) }]
+  }
+}
--- a/measure/capacity/list.ts
+++ b/measure/capacity/list.ts
@@ -3,6 +3,7 @@
 import { admissionByConfigured, admissionByServed, admissionByTargets } from './admission.js'
 import { configurationRoutes, configurationServices, configurationTargets, heldNotes } from './configuration.js'
 import { coordinationByMembers, coordinationByServices, coordinationByTargets } from './coordination.js'
+import { catalogByListings, catalogByRules, logByLines, placingByTargets } from './edge.js'
 import type { Measurement } from './measurement.js'
 import { linksByVMs, membershipByVMs, periodicByVMs } from './membership.js'
 import { tenants } from './metrics.js'
@@ -34,5 +35,9 @@
   linksByVMs,
   tenants,
   claims,
-  headPolls
+  headPolls,
+  catalogByListings,
+  catalogByRules,
+  placingByTargets,
+  logByLines
 ]
--- a/measure/placing/loads.ts
+++ b/measure/placing/loads.ts
@@ -38,5 +38,6 @@
   'slow short runs': { ...SHORT, name: 'slow short runs', kinds: SHORT_KINDS.map(kind => ({ ...kind, workMs: 2 * kind.workMs })), rateAt: () => 1 },
   'short and failing': { ...SHORT, name: 'short and failing', rateAt: () => 1, isFailing: isInEpisode },
   'full and failing': { ...BASE, name: 'full and failing', isFailing: isInEpisode },
+  'overload and failing': { ...BASE, name: 'overload and failing', rateAt: () => 1.3, isFailing: isInEpisode },
   'failing targets': { ...BASE, name: 'failing targets', rateAt: () => 0.65, isFailing: isInEpisode }
 } as const satisfies Readonly<Record<string, Load>>
--- a/measure/placing/main.ts
+++ b/measure/placing/main.ts
@@ -18,7 +18,7 @@
   process.exit(2)
 }
 
-function rowOf (load: string, { byKind, inAimShare, queuedMs, bytesBetweenZones }: Played): Readonly<Record<string, string | number>> {
+function rowOf (load: string, { byKind, inAimShare, queuedMs, lowestUse, bytesBetweenZones }: Played): Readonly<Record<string, string | number>> {
   const sum = (end: 'late' | 'refused' | 'failed'): number => Object.values(byKind).reduce((total, ends) => total + ends[end], 0)
   return {
     load,
@@ -27,6 +27,7 @@
     refused: sum('refused'),
     failed: sum('failed'),
     'queued ms': `${queuedMs.mean.toFixed(0)} (p95 ${queuedMs.p95.toFixed(0)})`,
+    'lowest use': lowestUse.toFixed(2),
     'KB between zones': Math.round(bytesBetweenZones / 1000)
   }
 }
--- a/measure/placing/model.test.ts
+++ b/measure/placing/model.test.ts
@@ -43,6 +43,17 @@
   })
 }
 
+/** Part of a service's sound targets that has to be used while requests go unserved. */
+const FLOOR = 0.7
+
+for (const load of [LOADS.overload, LOADS['overload and failing'], LOADS['slow short runs']]) {
+  // Guards against requests that are refused while sound targets stand by.
+  model(`load "${load.name}" uses ${FLOOR} of the sound targets`, async () => {
+    const { lowestUse } = await playSeeds(load, SEEDS)
+    assert.ok(lowestUse >= FLOOR, `${lowestUse.toFixed(2)} of the sound targets`)
+  })
+}
+
 model('a more urgent kind is served no less than a less urgent one under overload', async () => {
   const { byKind } = await playSeeds(LOADS.overload, SEEDS)
   const shares = LOADS.overload.kinds.map(({ name, priority }) => {
--- a/measure/placing/model.ts
+++ b/measure/placing/model.ts
@@ -8,6 +8,7 @@
 import type { Channel, Mesh, Peer, Result } from '../../src/model/index.js'
 import { createPlacing, type Placing } from '../../src/placing/index.js'
 import { createRandom, exponential, logNormal, type Random } from '../random.js'
+import { lowestUse, type Usage } from './floor.js'
 import { createTarget, type PlayedTarget, type Ran } from './target.js'
 import { createTimeline, type Timeline } from './timeline.js'
 
@@ -55,11 +56,14 @@
   readonly inAimShare: number
   /** Time that requests spent in the queues of targets, in ms: the mean and the 95th percentile. */
   readonly queuedMs: { readonly mean: number, readonly p95: number }
+  /** Least part of the sound targets in use while 0.1 to 0.5 of the requests go unserved. */
+  readonly lowestUse: number
   /** Bytes of messages between VMs of different zones. */
   readonly bytesBetweenZones: number
 }
 
 const SERVICE = 'search'
+const ID_PREFIX = 't-'
 const QUEUE_LENGTH = 16
 const WORK_SPREAD = 0.35
 /** Time of a message between two VMs, in ms. */
@@ -73,6 +77,12 @@
 
 const SILENT: Log = { info: () => {}, warn: () => {}, error: () => {} }
 
+/** What is recorded while a load is played. */
+interface Tape {
+  readonly arrivals: Array<Usage['arrivals'][number]>
+  readonly ends: Array<Usage['ends'][number]>
+}
+
 interface PlayedVM {
   readonly name: string
   readonly zone: string
@@ -97,7 +107,7 @@
 function listingsOf ({ targets, slots }: Load): readonly Listing[] {
   const zones = Object.entries(targets).flatMap(([zone, count]) => Array.from({ length: count }, () => zone))
   return zones.map((zone, index) => ({
-    id: `t-${index}`, service: SERVICE, address: '127.0.0.1', port: 1, zone, slots, draining: false, warmupMs: 0, startedAt: 1
+    id: `${ID_PREFIX}${index}`, service: SERVICE, address: '127.0.0.1', port: 1, zone, slots, draining: false, warmupMs: 0, startedAt: 1
   }))
 }
 
@@ -130,9 +140,13 @@
 }
 
 /** Sends one request and counts how it ended. */
-function sendRequest (vm: PlayedVM, kind: Kind, id: string, targets: ReadonlyMap<string, PlayedTarget>, timeline: Timeline, random: Random, ends: Ends): void {
+function sendRequest (vm: PlayedVM, kind: Kind, id: string, targets: ReadonlyMap<string, PlayedTarget>, timeline: Timeline, random: Random, ends: Ends, tape: Tape): void {
   const arrivedAt = timeline.now()
   const tried = new Set<string>()
+  const end = (how: keyof Ends): void => {
+    ends[how]++
+    tape.ends.push({ at: timeline.now(), isServed: how === 'inAim' || how === 'late' })
+  }
   const attempt = (): void => {
     const wanted = {
       service: SERVICE,
@@ -152,7 +166,7 @@
         if (exit._tag === 'Failure') throw new Error(`placing ended without an outcome: ${String(exit.cause)}`)
         const outcome = exit.value
         if (outcome._tag === 'Failure') {
-          ends[tried.size > 0 ? 'failed' : 'refused']++
+          end(tried.size > 0 ? 'failed' : 'refused')
           return
         }
         const slot = outcome.success
@@ -164,13 +178,14 @@
             requestId: id, service: SERVICE, target: slot.target.id, class: kind.name, result: RESULTS[ran], latencyMs: now - startedAt, fingerprint: ''
           }, now)
           if (ran === 'answered') {
-            ends[now - arrivedAt <= kind.objectiveMs ? 'inAim' : 'late']++
+            end(now - arrivedAt <= kind.objectiveMs ? 'inAim' : 'late')
             return
           }
           const mayRepeat = kind.idempotent || ran === 'shed'
           if (mayRepeat && tried.size < 3 && vm.placing.takeRetry(SERVICE, now)) attempt()
-          else ends.failed++
+          else end('failed')
         }
+        tape.arrivals.push({ at: startedAt, target: Number(slot.target.id.slice(ID_PREFIX.length)) })
         targets.get(slot.target.id)?.submit(logNormal(random, kind.workMs, WORK_SPREAD), conclude)
       }
     })
@@ -205,10 +220,11 @@
   })]))
   const byKind: Record<string, Ends> = Object.fromEntries(load.kinds.map(({ name }) => [name, { inAim: 0, late: 0, refused: 0, failed: 0 }]))
 
+  const tape: Tape = { arrivals: [], ends: [] }
   let sent = 0
   const arrive = (kind: Kind): void => {
     const vm = vms[Math.floor(random() * vms.length)] as PlayedVM
-    sendRequest(vm, kind, `r-${sent++}`, targets, timeline, random, byKind[kind.name] as Ends)
+    sendRequest(vm, kind, `r-${sent++}`, targets, timeline, random, byKind[kind.name] as Ends, tape)
   }
   const schedule = (kind: Kind): void => {
     timeline.after(exponential(random, kind.perSecond * load.rateAt(timeline.now())), () => {
@@ -227,7 +243,14 @@
 
   const inAim = Object.values(byKind).reduce((sum, ends) => sum + ends.inAim, 0)
   const mean = queued.reduce((sum, waitMs) => sum + waitMs, 0) / Math.max(1, queued.length)
-  return { byKind, inAimShare: inAim / Math.max(1, sent), queuedMs: { mean, p95: percentile(queued, 0.95) }, bytesBetweenZones }
+  const isSound = (target: number, now: number): boolean => load.isFailing?.(target, now) !== true
+  return {
+    byKind,
+    inAimShare: inAim / Math.max(1, sent),
+    queuedMs: { mean, p95: percentile(queued, 0.95) },
+    lowestUse: lowestUse({ ...tape, targets: targets.size, isSound, durationMs: load.durationMs }),
+    bytesBetweenZones
+  }
 }
 
 /** Plays a load several times with other random numbers; counts are those of all runs together. */
@@ -243,6 +266,7 @@
     byKind,
     inAimShare: sum(({ inAimShare }) => inAimShare) / count,
     queuedMs: { mean: sum(({ queuedMs }) => queuedMs.mean) / count, p95: sum(({ queuedMs }) => queuedMs.p95) / count },
+    lowestUse: Math.min(...runs.map(played => played.lowestUse)),
     bytesBetweenZones: sum(played => played.bytesBetweenZones) / count
   }
 }
