Let requests wait for a late answer when their deadline allows it

A request that could not be on time was refused at once, also when a slot was expected long before its deadline. A late answer is worth more to a caller than none.

--- a/src/placing/line.ts
+++ b/src/placing/line.ts
@@ -18,9 +18,11 @@
 }
 
 /** Times are spread around the usual one, so that much more is needed to be on time in most cases. */
-const TIME_FACTOR = 1.2
+const TIME_FACTOR = 1.5
 /** Part of the time to its latest start that a request may be expected to wait. */
 const WAIT_SHARE = 0.8
+/** The same for a request that will be late: those that come later and are on time go before it. */
+const LATE_WAIT_SHARE = 0.4
 /** Shortest and longest time to come back, in ms. */
 const RETURN_MIN_MS = 100
 const RETURN_MAX_MS = 1000
@@ -66,8 +68,9 @@
  * @param waitMs time after which it is expected to get a slot
  */
 export function shouldWait (request: Waiting, waitMs: number, now: number): boolean {
-  const until = isOnTime(request, now) ? request.objectiveAt - TIME_FACTOR * request.usualMs : latestStart(request)
-  return until > now && waitMs <= (until - now) * WAIT_SHARE
+  const onTimeMs = request.objectiveAt - TIME_FACTOR * request.usualMs - now
+  const anyTimeMs = latestStart(request) - now
+  return (onTimeMs > 0 && waitMs <= onTimeMs * WAIT_SHARE) || (anyTimeMs > 0 && waitMs <= anyTimeMs * LATE_WAIT_SHARE)
 }
 
 /** Time after which a refused request should come back, in ms, when it would have waited for `waitMs`. */
