Serve requests that can use a slot behind one that cannot

Cause: the line of a service ended at the first request without a slot. An idempotent request that could try a suspect target waited behind one that must not run twice and whose targets were all busy.

Change: a request without a slot stops only others of its kind, repeatable or not; a retry stops nobody.

--- a/src/placing/placing.ts
+++ b/src/placing/placing.ts
@@ -260,11 +260,16 @@
   function serve (service: string, now: number): void {
     const line = lines.get(service)
     if (line === undefined || line.entries.length === 0) return
+    // What one request may not use, for example a target on trial, another one behind it may.
+    const blocked = new Set<boolean>()
     for (const entry of inOrder(line.entries, now)) {
+      const { idempotent, avoid } = entry.wanted
+      if (blocked.has(idempotent)) continue
       const slot = tryGrant(entry.wanted, now)
-      if (slot === undefined) break
-      drop(line, entry)
-      entry.deliver(slot)
+      if (slot !== undefined) {
+        drop(line, entry)
+        entry.deliver(slot)
+      } else if (avoid.size === 0) blocked.add(idempotent)
     }
     for (const entry of line.entries.filter(each => latestStart(each) <= now)) refuseWaiting(service, line, entry, now)
   }
