--- a/src/placing/placing.ts
+++ b/src/placing/placing.ts
@@ -5,6 +5,7 @@
 import type { Log } from '../log/index.js'
 import type { Admission, Clock, Mesh, Observation, PlacementRequest, Slot, Target } from '../model/index.js'
 import { chooseSuspect, chooseTarget, type Candidate, type Chosen } from './choose.js'
+import { createHistory, type History } from './history.js'
 import { expectedWaitMs, goesBefore, inOrder, latestStart, returnAfterMs, shouldWait, type Waiting } from './line.js'
 import { loadsChannel } from './messages.js'
 import { createRetryBudget, type RetryAllowance, type RetryBudget } from './retry-budget.js'
@@ -20,20 +21,10 @@
 /** Use of the zone's sound slots from which VMs of other zones are told of the load: bytes between zones are paid for. */
 const PRESSED_USE = 0.4
 const PRUNE_MS = 5000
-/** Time over which the rate of ending requests is measured, in ms. */
-const RATE_WINDOW_MS = 2000
-/** Ends in that time from which on their rate is measured. */
-const MEASURED_ENDS = 10
 /** Latency that is assumed before the first answer, in ms. */
 const ASSUMED_LATENCY_MS = 200
-/** A service whose last idempotent request is older than this has none for trials, in ms. */
-const IDEMPOTENT_MEMORY_MS = 3000
 /** Use of the sound slots above which targets on trial are needed. */
 const SCARCE_USE = 0.6
-/** Part of a service's requests that fail above which all sound targets are used. */
-const SPREAD_FAILURES = 0.05
-/** Time over which that part is measured, in ms. */
-const FAILURES_WINDOW_MS = 3000
 /** Time after its hold at which a suspect target is tried with a request that must not run twice, in ms. */
 const RISKY_TRIAL_MS = { onlyWay: 1500, scarce: 500 } as const
 
@@ -85,10 +76,7 @@
 interface Line {
   entries: Entry[]
   readonly budget: RetryBudget
-  idempotentAt: number
-  endedAt: number[]
-  /** Recent requests, and whether they failed or were refused. */
-  outcomes: Array<{ readonly at: number, readonly isFailure: boolean }>
+  readonly history: History
 }
 
 /** When a slot is expected. */
@@ -136,7 +124,7 @@
   const lineOf = (service: string): Line => {
     const known = lines.get(service)
     if (known !== undefined) return known
-    const line: Line = { entries: [], budget: createRetryBudget(options.retries), idempotentAt: -Infinity, endedAt: [], outcomes: [] }
+    const line: Line = { entries: [], budget: createRetryBudget(options.retries), history: createHistory() }
     lines.set(service, line)
     return line
   }
@@ -147,26 +135,15 @@
 
   /** Requests that end per ms at this VM; at first, what the slots make possible. */
   const endsPerMs = (service: string, className: string, candidates: readonly Candidate[], now: number): number => {
-    const line = lineOf(service)
-    line.endedAt = line.endedAt.filter(at => now - at <= RATE_WINDOW_MS)
-    if (line.endedAt.length >= MEASURED_ENDS) return line.endedAt.length / RATE_WINDOW_MS
+    const measured = lineOf(service).history.endsPerMs(now)
+    if (measured !== undefined) return measured
     const slots = candidates.reduce((sum, { phase, listing }) => phase === 'sound' ? sum + listing.slots : sum, 0)
     return slots / Math.max(1, usualMsOf(service, className)) / vmCount(now)
   }
 
   const riskyTrialAfterMs = (line: Line, candidates: readonly Candidate[], now: number): number => {
     if (isScarce(candidates)) return RISKY_TRIAL_MS.scarce
-    return now - line.idempotentAt > IDEMPOTENT_MEMORY_MS ? RISKY_TRIAL_MS.onlyWay : Infinity
-  }
-
-  const note = (line: Line, isFailure: boolean, now: number): void => {
-    line.outcomes.push({ at: now, isFailure })
-  }
-
-  const isFailing = (line: Line, now: number): boolean => {
-    line.outcomes = line.outcomes.filter(({ at }) => now - at <= FAILURES_WINDOW_MS)
-    const failures = line.outcomes.filter(({ isFailure }) => isFailure).length
-    return failures > SPREAD_FAILURES * line.outcomes.length + 1
+    return line.history.hasIdempotent(now) ? Infinity : RISKY_TRIAL_MS.onlyWay
   }
 
   const choose = (wanted: PlacementRequest, candidates: readonly Candidate[], now: number): Chosen | undefined => {
@@ -176,7 +153,7 @@
       zone,
       idempotent: wanted.idempotent,
       canRetry: !isRetry && line.budget.allows(vmCount(now), now),
-      isSpread: isFailing(line, now),
+      isSpread: line.history.isFailing(now),
       isWaiting: line.entries.length > 0,
       riskyTrialAfterMs: isRetry ? Infinity : riskyTrialAfterMs(line, candidates, now),
       random
@@ -217,12 +194,11 @@
         isReleased = true
         running.delete(entry)
         targets.loads.end(listing.id)
-        const line = lineOf(wanted.service)
-        if (observation !== undefined) note(line, observation.result !== 'answered', endedAt)
-        // A failure that comes at once says nothing of how many requests the slots can serve.
-        if (observation?.result === 'answered') line.endedAt.push(endedAt)
         targets.settle(listing, observation, now, endedAt)
         if (observation === undefined) return serve(wanted.service, endedAt)
+        const { history } = lineOf(wanted.service)
+        if (observation.result === 'answered') history.answered(endedAt)
+        else history.failed(endedAt)
         report(wanted, candidate, isTrial, observation, endedAt - now)
         options.observe(observation, endedAt)
         serve(wanted.service, endedAt)
@@ -251,7 +227,7 @@
 
   const refuseWaiting = (service: string, line: Line, entry: Entry, now: number): void => {
     drop(line, entry)
-    note(line, true, now)
+    line.history.failed(now)
     const { waitMs, reason } = outlook(entry.wanted, targets.candidates(service, entry.wanted.avoid, now), line.entries.length, now)
     entry.refuse(refusal('overloaded', `no slot became free in time; ${reason}`, { retryAfterMs: returnAfterMs(waitMs, random) }))
   }
@@ -276,7 +252,7 @@
 
   const acquire: Admission['acquire'] = (wanted, now) => Effect.callback<Slot, Refusal>(resume => {
     const line = lineOf(wanted.service)
-    if (wanted.idempotent) line.idempotentAt = now
+    line.history.asked(wanted.idempotent, now)
     const candidates = targets.candidates(wanted.service, wanted.avoid, now)
     if (candidates.length === 0) {
       const detail = wanted.avoid.size > 0 ? 'every target was tried' : 'the service has no target'
@@ -297,7 +273,7 @@
     const ahead = line.entries.filter(other => !goesBefore(entry, other, now)).length
     const { waitMs, reason } = outlook(wanted, candidates, ahead, now)
     if (!shouldWait(entry, waitMs, now)) {
-      note(line, true, now)
+      line.history.failed(now)
       return resume(Effect.fail(refusal('overloaded', reason, { retryAfterMs: returnAfterMs(waitMs, random) })))
     }
     line.entries.push(entry)
