--- a/measure/capacity/edge.ts
+++ b/measure/capacity/edge.ts
@@ -12,6 +12,8 @@
 const NO_LINKS: Mesh = { contacts: () => [], subscribe: () => {}, send: () => false }
 const SERVICE = 'service-1'
 const SLOTS = 4
+/** Targets of a service at the expected size. */
+const TARGETS_PER_SERVICE = 23
 
 function listings (count: number, services = 1): readonly Change[] {
   return Array.from({ length: count }, (_, index): Change => {
@@ -62,8 +64,8 @@
   sizes: [1500, 15_000, 150_000],
   quickSizes: [10, 20, 40],
   run: count => {
-    const changes = listings(count, Math.ceil(count / 23))
-    const { bytes, value: catalog } = measureHeap(() => createFilled(changes, 'listings'))
+    const changes = listings(count, Math.ceil(count / TARGETS_PER_SERVICE))
+    const { bytes, value: catalog } = measureHeap(() => createFilled(listings(count, Math.ceil(count / TARGETS_PER_SERVICE)), 'listings'))
     const [first] = changes
     let version = count
     const change = (): boolean => catalog.apply({ section: 'listings', changes: [{ version: ++version, entry: (first as Change).entry }], after: version - 1, upTo: version }, 0)
@@ -82,7 +84,7 @@
   quickSizes: [10, 20, 40],
   run: count => {
     const change = rulesetChange(count)
-    const { bytes, value: catalog } = measureHeap(() => createFilled([change], 'rulesets'))
+    const { bytes, value: catalog } = measureHeap(() => createFilled([rulesetChange(count)], 'rulesets'))
     return [
       { measure: 'heap', unit: 'B', value: bytes },
       { measure: 'find', unit: 'us', value: measureTime(turn => catalog.rules().find(`host-${turn % 1000}.example`, `/path-${turn % count}/x`)) },
