End a VM that stops also while a peer holds an unfinished connection

Cause: the listener between VMs ended only when all connections had ended, and it knew only those that had become links. A peer that is cut off after it connected kept the process beyond its grace. The new tests in mesh.test.ts failed for a peer that sends nothing and for one that sends a part of its request (not stopped after 500 ms).

Change: the mesh keeps the accepted connections itself and destroys them at the stop. All tests of src/peer and platform/fleet pass.

--- a/src/peer/mesh.test.ts
+++ b/src/peer/mesh.test.ts
@@ -1,3 +1,5 @@
+import { once } from 'node:events'
+import { connect } from 'node:net'
 import { ok } from 'neverthrow'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -148,4 +150,32 @@
   await Promise.all([a.stop(), b.stop()])
 })
 
+/** A VM that stops has to be gone by the end of its grace; this part of the stop is at the very end of it. */
+const STOP_MS = 500
+
+const silences: ReadonlyArray<readonly [name: string, bytes: string]> = [
+  ['sends nothing', ''],
+  ['sends a part of its request', 'GET / HTTP/1.1\r\nHost: x\r\n'],
+  ['asks for a link and does not greet', 'GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\nSec-WebSocket-Version: 13\r\n\r\n']
+]
+
+for (const [name, bytes] of silences) {
+  // Guards against a process that does not end because a peer that is cut off holds a connection.
+  mesh(`a VM stops at once although a peer connects and ${name}`, async () => {
+    const a = await startMesh('a', () => [])
+    const socket = connect(a.vm.peers.port, a.vm.peers.address)
+    await once(socket, 'connect')
+    socket.on('error', () => {})
+    if (bytes !== '') socket.write(bytes)
+    await new Promise(resolve => setTimeout(resolve, 50))
+    const startedAt = performance.now()
+    const isStopped = await Promise.race([
+      a.stop().then(() => true),
+      new Promise(resolve => setTimeout(() => resolve(false), STOP_MS))
+    ])
+    socket.destroy()
+    assert.ok(isStopped, `not stopped after ${Math.round(performance.now() - startedAt)} ms`)
+  })
+}
+
 mesh.run()
--- a/src/peer/mesh.ts
+++ b/src/peer/mesh.ts
@@ -1,4 +1,6 @@
 /** The links of this VM to its peers. */
+import { createServer } from 'node:http'
+import type { Socket } from 'node:net'
 import { Effect, Fiber } from 'effect'
 import { WebSocket, WebSocketServer } from 'ws'
 import type { Log } from '../log/index.js'
@@ -77,7 +79,13 @@
   const observers: LinkObserver[] = []
   const fibers = new Set<Fiber.Fiber<unknown, unknown>>()
   const unwantedSince = new Map<Link, number>()
-  let server: WebSocketServer | undefined
+  const server = createServer()
+  /** Connections that were accepted; a peer that is cut off may never ask for a link. */
+  const sockets = new Set<Socket>()
+  server.on('connection', socket => {
+    sockets.add(socket)
+    socket.once('close', () => sockets.delete(socket))
+  })
   let handshakes = 0
   let stopped = false
 
@@ -166,25 +174,24 @@
 
   const openListener = Effect.callback<Endpoint, ListenFailure>(resume => {
     const { address, port } = options.listenAt ?? self.peers
-    const opening = new WebSocketServer({ host: address, port, maxPayload: FRAME_LIMIT_BYTES, perMessageDeflate: false })
-    server = opening
-    opening.once('listening', () => {
-      const bound = opening.address()
+    const upgrades = new WebSocketServer({ server, maxPayload: FRAME_LIMIT_BYTES, perMessageDeflate: false })
+    server.once('listening', () => {
+      const bound = server.address()
       resume(Effect.succeed({ address, port: typeof bound === 'object' && bound !== null ? bound.port : port }))
     })
-    opening.on('error', error => {
+    upgrades.on('error', error => {
       log.error('peers.listener-failed', { detail: error.message })
       resume(Effect.fail({ detail: error.message }))
     })
-    opening.on('connection', (socket, request) => {
+    upgrades.on('connection', (socket, request) => {
       if (stopped) return socket.terminate()
       accept(socket, `${request.socket.remoteAddress}:${request.socket.remotePort}`)
     })
+    server.listen(port, address)
   })
   const closeListener = Effect.callback<void>(resume => {
-    if (server === undefined) return resume(Effect.void)
     server.close(() => resume(Effect.void))
-    for (const client of server.clients) client.terminate()
+    for (const socket of sockets) socket.destroy()
   })
 
   return {
