--- a/src/edge/serving-view.ts
+++ b/src/edge/serving-view.ts
@@ -8,7 +8,7 @@
   readonly all: (now: number) => readonly string[]
   /** Of the own zone, without this VM. */
   readonly neighbours: (now: number) => readonly string[]
-  /** Of other zones. */
+  /** Of other zones, as far as they are linked. */
   readonly far: (now: number) => readonly string[]
 }
 
--- a/src/placing/history.test.ts
+++ b/src/placing/history.test.ts
@@ -1,6 +1,6 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createHistory, type History } from './index.js'
+import { createHistory, type History } from './history.js'
 
 const test = suite('history of a service')
 
--- a/src/placing/loads.ts
+++ b/src/placing/loads.ts
@@ -1,5 +1,5 @@
 /** Requests that run at each target, as far as this VM knows. */
-import type { Loads } from './messages.js'
+import { PROOF_LIMIT_MS, type Loads } from './messages.js'
 
 /** What another VM said is forgotten after this time: its requests have ended, or it is gone. */
 const STALE_MS = 600
@@ -29,8 +29,8 @@
   readonly at: number
 }
 
-/** Older successes are not told: the others know them, or they say little. */
-const TOLD_PROOF_MS = 1000
+/** Stands for a success that is not told. */
+const NO_PROOF_MS = PROOF_LIMIT_MS + 1
 
 /** Creates counts that start at 0. */
 export function createLoads (): TargetLoads {
@@ -60,15 +60,15 @@
     take: (vm, loads, now) => {
       told.set(vm, { counts: new Map(loads.map(([target, count]) => [target, count])), at: now })
       for (const [target, , agoMs] of loads) {
-        if (agoMs <= TOLD_PROOF_MS) proof.set(target, Math.max(proof.get(target) ?? -Infinity, now - agoMs))
+        if (agoMs <= PROOF_LIMIT_MS) proof.set(target, Math.max(proof.get(target) ?? -Infinity, now - agoMs))
       }
     },
     pack: now => {
-      const recent = [...ownProof].filter(([, at]) => now - at <= TOLD_PROOF_MS).map(([target]) => target)
+      const recent = [...ownProof].filter(([, at]) => now - at <= PROOF_LIMIT_MS).map(([target]) => target)
       return [...new Set([...own.keys(), ...recent])].map(target =>
-        [target, own.get(target) ?? 0, Math.min(TOLD_PROOF_MS + 1, Math.round(now - (ownProof.get(target) ?? -Infinity)))] as const)
+        [target, own.get(target) ?? 0, Math.min(NO_PROOF_MS, Math.round(now - (ownProof.get(target) ?? -Infinity)))] as const)
     },
-    packCounts: () => [...own].map(([target, count]) => [target, count, TOLD_PROOF_MS + 1] as const),
+    packCounts: () => [...own].map(([target, count]) => [target, count, NO_PROOF_MS] as const),
     retain: isKnown => { for (const known of [ownProof, proof]) for (const target of known.keys()) if (!isKnown(target)) known.delete(target) }
   }
 }
--- a/src/placing/placing.ts
+++ b/src/placing/placing.ts
@@ -28,7 +28,7 @@
 /** Time after its hold at which a suspect target is tried with a request that must not run twice, in ms. */
 const RISKY_TRIAL_MS = { onlyWay: 1500, scarce: 500 } as const
 
-const NONE: ReadonlySet<string> = new Set()
+const AVOID_NONE: ReadonlySet<string> = new Set()
 
 /** Places requests. */
 export interface Placing extends Admission {
@@ -285,7 +285,7 @@
   const shareFar = createSharing(mesh, FAR_PACE, targets.loads.packCounts)
   /** Whether requests of a service go to targets of other zones soon, or do already. */
   const isZonePressed = (service: string, now: number): boolean => {
-    const sound = targets.candidates(service, NONE, now).filter(({ phase, listing }) => phase === 'sound' && listing.zone === zone)
+    const sound = targets.candidates(service, AVOID_NONE, now).filter(({ phase, listing }) => phase === 'sound' && listing.zone === zone)
     return useOf(sound) >= PRESSED_USE
   }
   let pressure = { checkedAt: -Infinity, isPressed: false }
