--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -14,6 +14,7 @@
 import { createInstruments } from './instruments.js'
 import { join, VMS_PATH } from './joining.js'
 import { createLimits } from './limits.js'
+import { createLoadMeter, type LoadMeter } from './load-meter.js'
 import { resolveRequest } from './routes.js'
 import { connectionLimitPerVM, createServingView } from './serving-view.js'
 import type { EdgeSettings } from './settings.js'
@@ -77,6 +78,7 @@
   readonly catalogSync: CatalogSync
   readonly loadBalancer: LoadBalancer
   readonly entry: Entry
+  readonly loadMeter: LoadMeter
 }
 
 /** Settings that take effect only at startup. */
@@ -107,6 +109,10 @@
   let isLeaving = false
 
   const lagMonitor = createLagMonitor(HOUSEKEEPING_INTERVAL_MS)
+  const loadMeter = createLoadMeter(() => {
+    const { idle, active } = performance.eventLoopUtilization()
+    return { idleMs: idle, activeMs: active }
+  })
   const instruments = createInstruments(log, clock)
   const catalog = createCatalog(log)
   const mesh = createMesh({
@@ -192,8 +198,10 @@
 
   const housekeeping = Effect.forever(Effect.suspend(() => {
     const now = clock()
+    loadMeter.sample()
+    instruments.logLoad(components, now)
     if (lagMonitor.recordTick(now)) {
-      log.warn('vm.slow')
+      log.warn('vm.slow', { utilisation: Number(loadMeter.utilisation().toFixed(2)) })
       roster.announce(now)
     }
     catalog.sweep(now)
@@ -206,7 +214,7 @@
     return Effect.sleep(HOUSEKEEPING_INTERVAL_MS)
   }))
 
-  const components: EdgeComponents = { catalog, mesh, roster, catalogSync, loadBalancer, entry }
+  const components: EdgeComponents = { catalog, mesh, roster, catalogSync, loadBalancer, entry, loadMeter }
 
   return Effect.gen(function * () {
     const readiness = yield * openEndpoint('readiness', settings.readiness, options.readinessResponder(isReady), log)
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -17,6 +17,8 @@
   readonly requestsInFlight: number
   readonly callerConnections: number
   readonly targetConnections: number
+  /** Bytes of responses that the callers' connections have not accepted yet. */
+  readonly unsentBytes: number
   readonly stopping: boolean
 }
 
@@ -201,6 +203,7 @@
       requestsInFlight: countRequestsInFlight(),
       callerConnections: connections.size,
       targetConnections: pools.openConnections(),
+      unsentBytes: [...connections.keys()].reduce((sum, socket) => sum + socket.writableLength, 0),
       stopping: isStopping
     })
   }
--- a/src/entry/stop.test.ts
+++ b/src/entry/stop.test.ts
@@ -57,7 +57,7 @@
   }
   for (const caller of [inQueue, halfBody, halfHead, arrivesLate]) assert.match(caller.received(), /connection: close/i)
   assert.is(idle.received(), '')
-  assert.equal(test.entry.state(), { requestsInFlight: 0, callerConnections: 0, targetConnections: 0, stopping: true })
+  assert.equal(test.entry.state(), { requestsInFlight: 0, callerConnections: 0, targetConnections: 0, unsentBytes: 0, stopping: true })
   assert.ok(test.finished.every(({ ending }) => ending === 'answered'))
 }))
 
