--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -8,21 +8,20 @@
 import { createIncarnation, createMesh, type PeerMesh } from '../peer/index.js'
 import { createLoadBalancer, type LoadBalancer } from '../placing/index.js'
 import { createQuarantine } from '../quarantine/index.js'
-import { createRoster, type Roster, type Status } from '../roster/index.js'
+import { coresOf, createRoster, type Roster, type Status } from '../roster/index.js'
 import type { Store } from '../store/index.js'
 import { closeEndpoint, jsonResponse, NOT_FOUND, openEndpoint, type OpenFailure, type Responder } from './http-endpoint.js'
+import { expectedCores } from './expected-demand.js'
 import { createInstruments } from './instruments.js'
 import { join, VMS_PATH } from './joining.js'
 import { createLimits } from './limits.js'
-import { createLoadMeter, type LoadMeter } from './load-meter.js'
+import { createLoadMeter, readEventLoopTime, type EventLoopTime, type LoadMeter } from './load-meter.js'
 import { resolveRequest } from './routes.js'
 import { connectionLimitPerVM, createServingView } from './serving-view.js'
 import type { EdgeSettings } from './settings.js'
 import { createLagMonitor } from './lag-monitor.js'
 
 const METRICS_PATH = '/metrics'
-/** Number of VMs per zone whose addresses are given to callers. */
-const SERVING_PER_ZONE = 2
 /** Responses up to this size are buffered before they are forwarded; larger ones are streamed. */
 const RESPONSE_BUFFER_BYTES = 64 * 1024
 /** If a connection to a target is not established within this time, another target is tried. */
@@ -36,6 +35,8 @@
 const DRAIN_DELAY_FRACTION = 0.45
 /** Time reserved at the end of the grace period for the process to exit. */
 const EXIT_MARGIN_MS = 250
+/** Time after which a ready VM reports its utilisation, in ms; before, the start itself takes most of it. */
+const STARTUP_LOAD_MS = 2000
 /** Some callers ignore the TTL of an address list and cache it for up to three times as long. */
 const ADDRESS_CACHE_FACTOR = 3
 
@@ -50,6 +51,8 @@
   readonly log: Log
   readonly clock?: Clock
   readonly random?: () => number
+  /** Default: the times of this process's event loop. */
+  readonly eventLoopTime?: () => EventLoopTime
 }
 
 /** Addresses of the VMs that a caller should use. */
@@ -109,12 +112,14 @@
   let isLeaving = false
 
   const lagMonitor = createLagMonitor(HOUSEKEEPING_INTERVAL_MS)
-  const loadMeter = createLoadMeter(() => {
-    const { idle, active } = performance.eventLoopUtilization()
-    return { idleMs: idle, activeMs: active }
-  })
+  const loadMeter = createLoadMeter(options.eventLoopTime ?? readEventLoopTime)
   const instruments = createInstruments(log, clock)
   const catalog = createCatalog(log)
+  let expected = 0
+  catalog.onChange(() => {
+    const ruleset = catalog.ruleset()
+    if (ruleset !== undefined) expected = expectedCores(ruleset, catalog.listings())
+  })
   const mesh = createMesh({
     self: vm,
     incarnation: createIncarnation(Date.now()),
@@ -132,12 +137,14 @@
     rulesetsUpTo: catalog.upTo('rulesets'),
     listingsUpTo: catalog.upTo('listings'),
     // A slow VM reports an uptime of 0, as if it had just started, so that other VMs are preferred.
-    readyMs: readySince === undefined || lagMonitor.isSlow(now) ? 0 : now - readySince
+    readyMs: readySince === undefined || lagMonitor.isSlow(now) ? 0 : now - readySince,
+    cores: coresOf(vm),
+    usedCores: readySince === undefined || now - readySince < STARTUP_LOAD_MS ? 0 : loadMeter.utilisation() * coresOf(vm)
   })
   const roster: Roster = createRoster({
     self: vm,
     mesh,
-    servingPerZone: SERVING_PER_ZONE,
+    expectedCores: () => expected,
     status: statusAt,
     onStatus: (from, status, now) => catalogSync.handleStatus(from, status, now),
     log,
--- a/src/edge/joining.ts
+++ b/src/edge/joining.ts
@@ -16,7 +16,9 @@
 const SEED_TIMEOUT_MS = 800
 
 const EndpointSchema = Schema.Struct({ address: Schema.String, port: Schema.Int })
-const VMListSchema = Schema.Array(Schema.Struct({ name: Schema.String, place: Schema.String, callers: EndpointSchema, peers: EndpointSchema }))
+const VMListSchema = Schema.Array(Schema.Struct({
+  name: Schema.String, place: Schema.String, callers: EndpointSchema, peers: EndpointSchema, cores: Schema.optionalKey(Schema.Finite)
+}))
 const decodeVMs = Schema.decodeUnknownResult(VMListSchema)
 
 function parseVMs (text: string): readonly VM[] | undefined {
--- a/src/edge/load-meter.ts
+++ b/src/edge/load-meter.ts
@@ -6,6 +6,12 @@
   readonly activeMs: number
 }
 
+/** Reads the times of this process's event loop. */
+export function readEventLoopTime (): EventLoopTime {
+  const { idle, active } = performance.eventLoopUtilization()
+  return { idleMs: idle, activeMs: active }
+}
+
 /** Measures the utilisation of the event loop over the last second. */
 export interface LoadMeter {
   /** Takes a sample; called periodically. */
@@ -24,10 +30,7 @@
  * capacity left, whatever its processor.
  *
  * @example
- * const meter = createLoadMeter(() => {
- *   const { idle, active } = performance.eventLoopUtilization()
- *   return { idleMs: idle, activeMs: active }
- * })
+ * const meter = createLoadMeter(readEventLoopTime)
  * setInterval(meter.sample, 250)
  */
 export function createLoadMeter (read: () => EventLoopTime): LoadMeter {
--- a/src/model/vm.ts
+++ b/src/model/vm.ts
@@ -14,6 +14,8 @@
   readonly place: Place
   readonly callers: Endpoint
   readonly peers: Endpoint
+  /** Processor capacity in cores, for example 0.25; undefined if it is not known. */
+  readonly cores?: number
 }
 
 /** A VM on the platform's list, which may be out of date. */
--- a/src/roster/messages.ts
+++ b/src/roster/messages.ts
@@ -17,11 +17,17 @@
   readonly listingsUpTo: number
   /** Time for which the VM has been ready, in ms. */
   readonly readyMs: number
+  /** Processor capacity of the VM, in cores. */
+  readonly cores: number
+  /** Part of the capacity that is in use, in cores. */
+  readonly usedCores: number
 }
 
-const checkStatus = tuple(integer(0, PHASES.length - 1), nullable(integer()), integer(), integer(), integer())
+const MILLICORES_PER_CORE = 1000
 
-/** A status as a tuple: index of the phase, `storeAgeMs`, `rulesetsUpTo`, `listingsUpTo` and `readyMs`. */
+const checkStatus = tuple(integer(0, PHASES.length - 1), nullable(integer()), integer(), integer(), integer(), integer(), integer())
+
+/** A status as a tuple: index of the phase, `storeAgeMs`, `rulesetsUpTo`, `listingsUpTo`, `readyMs`, `cores` and `usedCores`. Cores are sent in thousandths. */
 export type PackedStatus = Checked<typeof checkStatus>
 
 /** Sent in each heartbeat, and as a message when the status changes. */
@@ -34,11 +40,21 @@
     status.storeAgeMs === undefined ? null : Math.round(status.storeAgeMs),
     status.rulesetsUpTo,
     status.listingsUpTo,
-    Math.round(status.readyMs)
+    Math.round(status.readyMs),
+    Math.round(status.cores * MILLICORES_PER_CORE),
+    Math.round(status.usedCores * MILLICORES_PER_CORE)
   ]
 }
 
 /** Decodes the result of `packStatus`. */
-export function unpackStatus ([phase, storeAgeMs, rulesetsUpTo, listingsUpTo, readyMs]: PackedStatus): Status {
-  return { phase: PHASES[phase] ?? 'starting', storeAgeMs: storeAgeMs ?? undefined, rulesetsUpTo, listingsUpTo, readyMs }
+export function unpackStatus ([phase, storeAgeMs, rulesetsUpTo, listingsUpTo, readyMs, millicores, usedMillicores]: PackedStatus): Status {
+  return {
+    phase: PHASES[phase] ?? 'starting',
+    storeAgeMs: storeAgeMs ?? undefined,
+    rulesetsUpTo,
+    listingsUpTo,
+    readyMs,
+    cores: millicores / MILLICORES_PER_CORE,
+    usedCores: usedMillicores / MILLICORES_PER_CORE
+  }
 }
--- a/src/roster/roster.ts
+++ b/src/roster/roster.ts
@@ -4,6 +4,8 @@
 import type { LinkMesh } from '../peer/index.js'
 import { packStatus, statusChannel, unpackStatus, type Status } from './messages.js'
 import { selectServing, sortByRank, type ServingCandidate } from './serving-vms.js'
+import { selectLinks, type LinkCandidate } from './wanted-links.js'
+import { createZoneDemand, type ZoneDemand } from './zone-demand.js'
 
 /** A VM with an open link. */
 export interface LinkedVM {
@@ -39,8 +41,8 @@
 export interface RosterOptions {
   readonly self: VM
   readonly mesh: LinkMesh
-  /** Number of VMs that serve the callers of a zone. */
-  readonly servingPerZone: number
+  /** Processor time that the callers of all zones may need, in cores; the measured demand can be higher. */
+  readonly expectedCores: () => number
   readonly status: (now: number) => Status
   /** Called with each status that a peer sends. */
   readonly onStatus: (from: Peer, status: Status, now: number) => void
@@ -48,8 +50,11 @@
   readonly clock: Clock
 }
 
-/** Links per zone in addition to those to its serving VMs. */
-const EXTRA_LINKS = 1
+/** A candidate with its reported use. */
+interface MeasuredCandidate extends ServingCandidate {
+  readonly usedCores: number
+}
+
 /** A VM to which no link opens for this time is replaced by the next one in rank, in ms. */
 const UNREACHABLE_AFTER_MS = 1500
 
@@ -57,20 +62,25 @@
  * Creates a roster that contains only this VM.
  *
  * @example
- * const roster = createRoster({ self, mesh, servingPerZone: 3, status, onStatus, log, clock })
+ * const roster = createRoster({ self, mesh, expectedCores: () => 3, status, onStatus, log, clock })
  * roster.add(vms)
  * roster.serving(clock()).map(({ callers }) => callers.address)
  */
 export function createRoster (options: RosterOptions): Roster {
-  const { self, mesh, servingPerZone, clock } = options
+  const { self, mesh, clock } = options
   const known = new Map<string, VM>([[self.name, self]])
   const linked = new Map<string, LinkedVM>()
+  const demands = new Map<Place, ZoneDemand>()
+  /** Names of the VMs that were last selected to serve each zone. */
+  const selected = new Map<Place, ReadonlySet<string>>()
 
   const handleStatus = (from: Peer, status: Status, now: number): void => {
     const entry = linked.get(from.vm)
     if (entry === undefined) return
     if (entry.status?.phase !== status.phase) options.log.info('vm.phase', { peer: from.vm, phase: status.phase })
-    linked.set(from.vm, { ...entry, status, receivedAt: now })
+    const vm = { ...entry.vm, cores: status.cores }
+    known.set(vm.name, vm)
+    linked.set(from.vm, { vm, status, receivedAt: now })
     options.onStatus(from, status, now)
   }
 
@@ -87,31 +97,49 @@
   mesh.subscribe(statusChannel, (from, packed) => handleStatus(from, unpackStatus(packed), clock()))
   mesh.observe({
     opened: (from, vm) => {
-      known.set(vm.name, vm)
-      linked.set(from.vm, { vm, status: undefined, receivedAt: -Infinity })
+      // The handshake does not state the capacity, but the list of VMs may have done so.
+      const linkedVM = { ...known.get(vm.name), ...vm }
+      known.set(vm.name, linkedVM)
+      linked.set(from.vm, { vm: linkedVM, status: undefined, receivedAt: -Infinity })
     },
     closed: from => linked.delete(from.vm)
   })
 
   const isAlive = (place: Place) => ({ vm, status }: LinkedVM): boolean => vm.place === place && status?.phase !== 'leaving'
 
-  const candidates = (now: number): readonly ServingCandidate[] => {
+  const candidates = (now: number): readonly MeasuredCandidate[] => {
     const own = options.status(now)
     const others = [...linked.values()].flatMap(({ vm, status, receivedAt }) =>
-      status?.phase === 'ready' ? [{ vm, readyMs: status.readyMs + now - receivedAt }] : [])
-    return own.phase === 'ready' ? [{ vm: self, readyMs: own.readyMs }, ...others] : others
+      status?.phase === 'ready' ? [{ vm, readyMs: status.readyMs + now - receivedAt, usedCores: status.usedCores }] : [])
+    return own.phase === 'ready' ? [{ vm: self, readyMs: own.readyMs, usedCores: own.usedCores }, ...others] : others
+  }
+
+  const places = (): readonly Place[] => [...new Set([...known.values()].map(({ place }) => place))]
+
+  const demandCores = (zone: Place, now: number): number =>
+    Math.max(options.expectedCores() / places().length, demands.get(zone)?.peakCores(now) ?? 0)
+
+  /** Selects the serving VMs of a zone, and records what those that were selected before use. */
+  const selectInZone = (zone: Place, zoneCandidates: readonly MeasuredCandidate[], now: number): readonly VM[] => {
+    const demand = demands.get(zone) ?? createZoneDemand()
+    demands.set(zone, demand)
+    const previous = selected.get(zone) ?? new Set()
+    demand.record(zoneCandidates.reduce((sum, { vm, usedCores }) => previous.has(vm.name) ? sum + usedCores : sum, 0), now)
+    const serving = selectServing(zoneCandidates, demandCores(zone, now))
+    selected.set(zone, new Set(serving.map(({ name }) => name)))
+    return serving
   }
 
   const serving = (now: number): readonly VM[] => {
     const all = candidates(now)
     const zoneCandidates = all.filter(({ vm }) => vm.place === self.place)
-    return selectServing(zoneCandidates.length > 0 ? zoneCandidates : all, servingPerZone)
+    return selectInZone(self.place, zoneCandidates.length > 0 ? zoneCandidates : all, now)
   }
 
   const servingInOtherZones = (now: number): readonly VM[] => {
     const otherZoneCandidates = candidates(now).filter(({ vm }) => vm.place !== self.place)
     const zones = new Set(otherZoneCandidates.map(({ vm }) => vm.place))
-    return [...zones].flatMap(zone => selectServing(otherZoneCandidates.filter(({ vm }) => vm.place === zone), servingPerZone))
+    return [...zones].flatMap(zone => selectInZone(zone, otherZoneCandidates.filter(({ vm }) => vm.place === zone), now))
   }
 
   const isServing = (now: number): boolean => serving(now).some(({ name }) => name === self.name)
@@ -129,28 +157,28 @@
     return now - since <= UNREACHABLE_AFTER_MS
   }
 
-  /** The first VMs of a zone by rank, with one more for each that is unreachable. */
-  const firstInZone = (zone: Place, now: number): readonly VM[] => {
-    const chosen: VM[] = []
-    let count = 0
-    for (const vm of sortByRank([...known.values()].filter(({ name, place }) => place === zone && name !== self.name))) {
-      if (count >= servingPerZone + EXTRA_LINKS) break
-      chosen.push(vm)
-      if (isReachable(vm.name, now)) count++
-    }
-    return chosen
+  const linksInZone = (zone: Place, now: number): readonly VM[] => {
+    // Without a status, a VM is assumed to have started together with this one, as it has when a whole zone starts.
+    const { readyMs: assumedReadyMs, phase } = options.status(now)
+    const zoneVMs = [...known.values()].filter(({ name, place }) => place === zone && name !== self.name)
+    const others = zoneVMs.map((vm): LinkCandidate => {
+      const status = linked.get(vm.name)?.status
+      return { vm, readyMs: status?.readyMs ?? assumedReadyMs, isAvailable: status?.phase !== 'leaving' && isReachable(vm.name, now) }
+    })
+    const own: readonly LinkCandidate[] = zone === self.place ? [{ vm: self, readyMs: assumedReadyMs, isAvailable: phase !== 'leaving' }] : []
+    return selectLinks([...own, ...others], demandCores(zone, now)).filter(vm => vm !== self)
   }
 
-  const otherZones = (): readonly Place[] =>
-    [...new Set([...known.values()].map(({ place }) => place))].filter(place => place !== self.place)
-
   return {
-    add: vms => { for (const vm of vms) if (!known.has(vm.name)) known.set(vm.name, vm) },
+    // A known VM gets only the capacity from the list, which may be older than the link to it.
+    add: vms => { for (const vm of vms) known.set(vm.name, { ...vm, ...known.get(vm.name) }) },
     known: () => [...known.values()],
     linked: () => [...linked.values()],
     linksWanted: now => {
-      const zoneVMs = firstInZone(self.place, now)
-      return isServing(now) ? [...zoneVMs, ...otherZones().flatMap(zone => firstInZone(zone, now))] : zoneVMs
+      const zoneVMs = linksInZone(self.place, now)
+      if (!isServing(now)) return zoneVMs
+      const otherZones = places().filter(place => place !== self.place)
+      return [...zoneVMs, ...otherZones.flatMap(zone => linksInZone(zone, now))]
     },
     serving,
     isServing,
