--- a/src/entry/connection.ts
+++ b/src/entry/connection.ts
@@ -6,6 +6,7 @@
 import type { Dialect } from './dialect.js'
 import type { Exchange } from './exchange.js'
 import { handleRequest, type HandlerContext } from './request-handler.js'
+import { createMessageLines, framingOf } from './message-lines.js'
 import type { Ending, EntryOptions, Limits } from './options.js'
 import type { Pools } from './pool.js'
 import { sendRawRefusal } from './raw-refusal.js'
@@ -13,6 +14,8 @@
 /** A connection from a caller. */
 export interface CallerConnection {
   readonly socket: Socket
+  /** Checks the line endings of bytes that the parser is about to read. */
+  readonly inspect: (chunk: Buffer) => void
   /** Queues a request; the caller may pipeline requests. */
   readonly accept: (exchange: Exchange) => void
   /** Handles input that cannot be parsed: aborts the exchange it belongs to, or sends the refusal after the pending responses. */
@@ -173,6 +176,8 @@
   let pendingCount = 0
   let lastExchange: Exchange | undefined
   let failure: Refusal | undefined
+  const lines = createMessageLines(framingOf)
+  let acceptedCount = 0
   const active = new Map<Exchange, Progress>()
   // Pipelined requests that have arrived are served too, so only the last response closes the connection.
   const isClosing = (exchange: Exchange): boolean => isStopping() && exchange === lastExchange
@@ -243,11 +248,24 @@
     abort(exchange, kind, `no progress for ${limits.idleTimeMs} ms`, awaited, now)
   }
 
+  /** Fails the connection if the request with the first violation was accepted; earlier requests are served. */
+  const checkLines = (): void => {
+    const violation = lines.violation()
+    if (violation !== undefined && violation.message < acceptedCount) fail(refusal('framing-ambiguous', violation.detail))
+  }
+
   return {
     socket,
+    inspect: chunk => {
+      lines.push(chunk)
+      checkLines()
+    },
     accept: exchange => {
       // After a parse error, the boundaries of later requests are unknown, so none is served.
       if (failure !== undefined) return
+      acceptedCount++
+      checkLines()
+      if (failure !== undefined) return
       if (pendingCount >= MAX_PIPELINED) return fail(refusal('bad-request', `more than ${MAX_PIPELINED} pipelined requests`))
       pendingCount++
       lastExchange = exchange
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -127,8 +127,11 @@
   const listener = createNetServer({ allowHalfOpen: true, noDelay: true }, socket => {
     acceptedCount++
     if (connections.size >= limits.connections) return refuseConnection(socket)
-    connections.set(socket, createCallerConnection(context, socket, () => connections.delete(socket)))
+    const connection = createCallerConnection(context, socket, () => connections.delete(socket))
+    connections.set(socket, connection)
     http.emit('connection', socket)
+    // The check precedes the parser, so that a request is not served before its last line was checked.
+    socket.prependListener('data', connection.inspect)
   })
 
   const shortestTimeoutMs = Math.min(limits.headerTimeMs, limits.idleTimeMs, limits.requestLimitMs)
--- a/src/entry/framing.ts
+++ b/src/entry/framing.ts
@@ -2,8 +2,8 @@
  * Refuses requests with ambiguous framing, to prevent request smuggling.
  *
  * The strict parser of Node.js rejects most of them: Content-Length together with
- * Transfer-Encoding, repeated or malformed lengths, bare line feeds and folded lines.
- * The checks here cover what it accepts.
+ * Transfer-Encoding, repeated or malformed lengths, and folded lines. The checks here
+ * and in `message-lines.ts` cover what it accepts.
  */
 import type { IncomingMessage } from 'node:http'
 import { refusal, type ErrorKind, type Refusal } from '../errors/index.js'
--- a/src/entry/send.ts
+++ b/src/entry/send.ts
@@ -1,6 +1,7 @@
 /** Sends a request over a connection to a target and waits for the head of the response. */
 import { request as startRequest, type ClientRequest, type IncomingMessage, type InformationEvent } from 'node:http'
 import { Effect } from 'effect'
+import { createMessageLines, responseFramingOf } from './message-lines.js'
 import type { Connection } from './pool.js'
 
 /** A request to a target. */
@@ -80,12 +81,25 @@
       outgoing.destroy()
       resume(Effect.fail({ result, wasSent, isTimedOut, detail }))
     }
+    const lines = createMessageLines(responseFramingOf(outbound.method))
+    let received: IncomingMessage | undefined
+    /** Checks bytes before the parser reads them. A response that was received in part is truncated. */
+    const inspect = (chunk: Buffer): void => {
+      lines.push(chunk)
+      const violation = lines.violation()
+      if (violation === undefined) return
+      if (received === undefined) fail('failed', violation.detail)
+      else received.destroy()
+    }
+    socket.prependListener('data', inspect)
+    outgoing.once('close', () => socket.off('data', inspect))
     const isSilent = (): boolean => connection.isReused && socket.bytesRead === readBefore
     const onResponse = (targetResponse: IncomingMessage): void => {
       // An error also ends the response early, and the relay detects that.
       targetResponse.on('error', () => {})
       if (!isFramingValid(targetResponse)) return fail('failed', 'the response has an unsupported transfer coding')
       cleanUp()
+      received = targetResponse
       resume(Effect.succeed({ targetResponse, outgoing }))
     }
     let failure: NodeJS.ErrnoException | undefined
