--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -185,6 +185,7 @@
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     maxReuseIdleMs: MAX_REUSE_IDLE_MS,
     responseBufferBytes: RESPONSE_BUFFER_BYTES,
+    isDeadlineForBody: true,
     dialect,
     log,
     clock,
--- a/src/entry/options.ts
+++ b/src/entry/options.ts
@@ -93,6 +93,8 @@
   readonly maxReuseIdleMs?: number
   /** Bytes of a response body that are buffered before the response is relayed. Default: 0. */
   readonly responseBufferBytes?: number
+  /** Whether a response that is not complete at the deadline is cut off. Default: no, so that only `requestLimitMs` ends it. */
+  readonly isDeadlineForBody?: boolean
   readonly log: Log
   readonly clock: Clock
   /** Read anew for each request, except the limits of the head and of connections. */
--- a/src/entry/request-handler.ts
+++ b/src/entry/request-handler.ts
@@ -71,7 +71,7 @@
 /** Relays a target's response to the caller and records it for the claim. */
 function deliver (
   { options, dialect, closePolicy }: HandlerContext,
-  exchange: Exchange,
+  { exchange, deadlineAt }: RoutedRequest,
   checks: PreSendChecks,
   targetResponse: IncomingMessage,
   attemptOutcome: AttemptOutcome,
@@ -85,6 +85,7 @@
     status: targetResponse.statusCode ?? 0,
     headers,
     buffered: attemptOutcome.buffered,
+    timeoutMs: options.isDeadlineForBody === true ? deadlineAt - options.clock() : undefined,
     onChunk: recorder?.onChunk,
     onComplete: () => {
       onComplete()
@@ -100,7 +101,7 @@
   const isComplete = yield * forward(context.options, context.pools, {
     ...routed,
     checks,
-    deliver: (targetResponse, attemptOutcome, onComplete) => deliver(context, exchange, checks, targetResponse, attemptOutcome, onComplete)
+    deliver: (targetResponse, attemptOutcome, onComplete) => deliver(context, routed, checks, targetResponse, attemptOutcome, onComplete)
   })
   return isComplete ? 'answered' as const : 'truncated' as const
 })
--- a/src/entry/respond.ts
+++ b/src/entry/respond.ts
@@ -135,6 +135,8 @@
   readonly headers: readonly string[]
   /** The part of the body that was read already. */
   readonly buffered: BufferedBody
+  /** Time within which the target must have sent the complete response, in ms; undefined for no limit. */
+  readonly timeoutMs: number | undefined
   /** Receives each chunk of the body. */
   readonly onChunk: ((chunk: Buffer) => void) | undefined
   /** Called when the target has sent the complete response, before the caller has received it. */
@@ -171,6 +173,7 @@
     const flush = setImmediate(() => response.flushHeaders())
     const cleanUp = (): void => {
       clearImmediate(flush)
+      clearTimeout(timeout)
       targetResponse.unpipe(response)
       targetResponse.off('end', onEnd).off('close', onTruncated).off('error', onTruncated)
       if (relay.onChunk !== undefined) targetResponse.off('data', relay.onChunk)
@@ -179,6 +182,7 @@
       cleanUp()
       resume(Effect.succeed(false))
     }
+    const timeout = relay.timeoutMs === undefined ? undefined : setTimeout(onTruncated, Math.ceil(Math.max(0, relay.timeoutMs)))
     const onEnd = (): void => {
       if (!isCompleteResponse(targetResponse)) return onTruncated()
       cleanUp()
