--- a/src/placing/load-reporter.ts
+++ b/src/placing/load-reporter.ts
@@ -10,12 +10,16 @@
   readonly refreshMs: number
 }
 
+/** Number of receivers up to which the shortest interval applies; more receivers get reports less often, so that a VM's messages a second stay bounded. */
+const RECEIVERS_AT_MIN_INTERVAL = 4
+
 /** Creates a function that sends the report of `createReport` to `vms` when one is due. */
 export function createLoadReporter (mesh: Mesh, { minMs, refreshMs }: ReportIntervals, createReport: (now: number) => LoadReport): (vms: readonly string[], now: number) => void {
   let sentAt = -Infinity
   let lastSent = ''
   return (vms, now) => {
-    if (now - sentAt < minMs) return
+    const intervalMs = Math.min(refreshMs, minMs * Math.max(1, vms.length / RECEIVERS_AT_MIN_INTERVAL))
+    if (now - sentAt < intervalMs) return
     const report = createReport(now)
     const text = JSON.stringify(report)
     const isUnchanged = text === lastSent
