--- a/src/entry/attempts.test.ts
+++ b/src/entry/attempts.test.ts
@@ -268,6 +268,22 @@
   }, { classes: classesWithDeadline(600) })
 })
 
+// Guards against refusing a request whose only target still responds on other connections.
+attempts('a request on an unresponsive connection is sent again over another one when there is no other target', () => {
+  let isFrozen = false
+  const target = startRawTarget(socket => {
+    const isOld = !isFrozen
+    socket.on('data', () => { if (!isOld || !isFrozen) socket.write(OK) })
+  })
+  return withTargets([target], async test => {
+    await sendAndRead(test.port, GET)
+    await eventually(() => test.entry.state().targetConnections === 1, 'the connection is idle')
+    isFrozen = true
+    assert.match(await sendAndRead(test.port, GET), /^HTTP\/1\.1 200 .*ok$/s)
+    assert.equal(test.observations.map(({ result }) => result), ['answered', 'silent', 'answered'])
+  }, { classes: classesWithDeadline(600), retries: 1 })
+})
+
 attempts('requests wait when the connection limit is reached', () => {
   let open = 0
   let maxOpen = 0
--- a/src/entry/forward.ts
+++ b/src/entry/forward.ts
@@ -96,7 +96,7 @@
     clock
   }
 
-  const acquire = Effect.suspend(() => options.admission.acquire({
+  const acquireAvoiding = (avoid: ReadonlySet<string>): Effect.Effect<Slot, Refusal> => Effect.suspend(() => options.admission.acquire({
     service,
     class: route.class.name,
     caller: exchange.callerKey,
@@ -105,7 +105,7 @@
     idempotent: route.class.idempotent,
     priority: route.class.priority,
     objectiveAt: exchange.arrivedAt + (route.class.objectiveMs ?? route.class.deadlineMs),
-    avoid: triedTargets,
+    avoid,
     avoidPlaces: triedPlaces
   }, clock()))
 
@@ -115,7 +115,7 @@
     current = createAttempt(context, slot)
   }
 
-  const begin = Effect.uninterruptibleMask(restore => restore(acquire).pipe(
+  const begin = Effect.uninterruptibleMask(restore => restore(acquireAvoiding(triedTargets)).pipe(
     Effect.tap(slot => Effect.sync(() => {
       startAttempt(slot)
       options.earnRetryToken(service, clock())
@@ -134,9 +134,20 @@
     return sentCount === 0 || takeRetryToken()
   }
 
-  /** Creates an attempt at the target of the slot, if it was not tried and enough time is left. */
+  /**
+   * Acquires a slot at a target that was not tried. After an attempt on a reused connection without a response, the
+   * same target may be tried over another connection if there is no other target: the connection may be the fault.
+   */
+  const acquireRetry = ({ result }: AttemptOutcome): Effect.Effect<Slot, Refusal> => acquireAvoiding(triedTargets).pipe(
+    Effect.catch(refused => result === 'silent' && refused.kind === 'no-target'
+      ? acquireAvoiding(new Set([...triedTargets].filter(id => id !== current?.slot.target.id)))
+      : Effect.fail(refused))
+  )
+
+  /** Creates an attempt at the target of the slot, if it may be tried and enough time is left. */
   const startRetry = (slot: Slot, outcome: AttemptOutcome): boolean => {
-    if (triedTargets.has(slot.target.id) || !hasTimeLeft(options, route, deadlineAt, clock())) {
+    const isUntried = !triedTargets.has(slot.target.id)
+    if ((!isUntried && outcome.result !== 'silent') || !hasTimeLeft(options, route, deadlineAt, clock())) {
       slot.release(undefined, clock())
       return false
     }
@@ -151,7 +162,7 @@
     // Unless its response may still be delivered, the slot is released before waiting for another one.
     if (outcome.targetResponse === undefined) current?.abandon(observedResult(outcome))
     if (!isRetryAllowed(outcome)) return Effect.succeed(false)
-    return Effect.uninterruptibleMask(restore => restore(acquire).pipe(Effect.match({
+    return Effect.uninterruptibleMask(restore => restore(acquireRetry(outcome)).pipe(Effect.match({
       onSuccess: slot => startRetry(slot, outcome),
       onFailure: () => false
     })))
