--- a/src/edge/serving-view.ts
+++ b/src/edge/serving-view.ts
@@ -4,7 +4,7 @@
 
 /** Names of the VMs that serve callers. */
 export interface ServingView {
-  /** In all zones, including this VM. */
+  /** In all zones, including this VM. The same array while the VMs do not change. */
   readonly all: (now: number) => readonly string[]
   /** In this VM's zone, or in all zones if no VM of the zone is ready; without this VM. */
   readonly local: (now: number) => readonly string[]
@@ -26,7 +26,8 @@
     computedAt = now
     nearest = roster.serving(now).map(({ name }) => name)
     remote = roster.servingInOtherZones(now).map(({ name }) => name)
-    all = [...new Set([self, ...nearest, ...remote])]
+    const names = [...new Set([self, ...nearest, ...remote])]
+    if (names.join() !== all.join()) all = names
   }
   return {
     all: now => {
--- a/src/placing/target-loads.ts
+++ b/src/placing/target-loads.ts
@@ -35,22 +35,33 @@
 /** Creates the loads of targets without requests. */
 export function createTargetLoads (): TargetLoads {
   const own = new Map<string, number>()
+  /** Sums of the reports that have not expired. */
+  const reported = new Map<string, number>()
+  let expiredAt = -Infinity
   const peerReports = new Map<string, PeerReport>()
   const ownSuccessAt = new Map<string, number>()
   const successAt = new Map<string, number>()
-  const change = (target: string, by: number): void => {
-    const count = (own.get(target) ?? 0) + by
-    if (count > 0) own.set(target, count)
-    else own.delete(target)
+  const change = (loads: Map<string, number>, target: string, by: number): void => {
+    const count = (loads.get(target) ?? 0) + by
+    if (count > 0) loads.set(target, count)
+    else loads.delete(target)
+  }
+  const removeReport = (vm: string): void => {
+    for (const [target, count] of peerReports.get(vm)?.counts ?? []) change(reported, target, -count)
+    peerReports.delete(vm)
+  }
+  const expireReports = (now: number): void => {
+    if (now === expiredAt) return
+    expiredAt = now
+    for (const [vm, { at }] of peerReports) if (now - at > REPORT_TTL_MS) removeReport(vm)
   }
   return {
-    begin: target => change(target, 1),
-    end: target => change(target, -1),
+    begin: target => change(own, target, 1),
+    end: target => change(own, target, -1),
     own: target => own.get(target) ?? 0,
     total: (target, now) => {
-      let sum = own.get(target) ?? 0
-      for (const { counts, at } of peerReports.values()) if (now - at <= REPORT_TTL_MS) sum += counts.get(target) ?? 0
-      return sum
+      expireReports(now)
+      return (own.get(target) ?? 0) + (reported.get(target) ?? 0)
     },
     recordSuccess: (target, now) => {
       ownSuccessAt.set(target, now)
@@ -58,7 +69,10 @@
     },
     lastSuccessAt: target => successAt.get(target) ?? -Infinity,
     applyReport: (vm, report, now) => {
-      peerReports.set(vm, { counts: new Map(report.map(([target, count]) => [target, count])), at: now })
+      removeReport(vm)
+      const counts = new Map(report.map(([target, count]) => [target, count]))
+      for (const [target, count] of counts) change(reported, target, count)
+      peerReports.set(vm, { counts, at: now })
       for (const [target, , agoMs] of report) {
         if (agoMs <= SUCCESS_AGE_LIMIT_MS) successAt.set(target, Math.max(successAt.get(target) ?? -Infinity, now - agoMs))
       }
--- a/src/placing/target-states.ts
+++ b/src/placing/target-states.ts
@@ -46,12 +46,17 @@
   readonly self: string
   readonly catalog: Catalog
   readonly mesh: Mesh
-  /** Names of the VMs that serve callers, this VM included. */
+  /** Names of the VMs that serve callers, this VM included. The same array while they do not change. */
   readonly servingVMs: (now: number) => readonly string[]
   readonly clock: () => number
   readonly log: Log
 }
 
+interface ProbeOrder {
+  readonly vms: readonly string[]
+  readonly earlierVMs: Map<string, number>
+}
+
 /** Exclusive upper bound of `hashText`. */
 const HASH_RANGE = 2 ** 32
 
@@ -72,15 +77,31 @@
   const probed = new Set<string>()
   const truncatedAt = new Map<string, number>()
   const incarnations = new Map<string, number>()
+  /** Number of VMs before this one in the probe order of each target, for one list of serving VMs. */
+  let probeOrder: ProbeOrder = { vms: [], earlierVMs: new Map() }
 
   const latenciesOf = (service: string): Latencies => {
-    const known = latencies.get(service) ?? createLatencies()
-    latencies.set(service, known)
-    return known
+    const known = latencies.get(service)
+    if (known !== undefined) return known
+    const created = createLatencies()
+    latencies.set(service, created)
+    return created
   }
 
-  const circuitOf = (target: string, now: number): CircuitState =>
-    allBreakers.map(breakers => breakers.stateOf(target, now)).reduce((worst, circuit) => SEVERITY[circuit] > SEVERITY[worst] ? circuit : worst)
+  const circuitOf = (target: string, now: number): CircuitState => {
+    let worst: CircuitState = 'sound'
+    for (const breakers of allBreakers) {
+      const circuit = breakers.stateOf(target, now)
+      if (SEVERITY[circuit] > SEVERITY[worst]) worst = circuit
+    }
+    return worst
+  }
+
+  /** Time since the last of the target's circuits became half-open, in ms; negative while one is open. */
+  const halfOpenMsOf = (target: string, now: number): number => {
+    const suspecting = allBreakers.filter(breakers => breakers.stateOf(target, now) !== 'sound')
+    return Math.min(...suspecting.map(breakers => breakers.halfOpenMs(target, now)))
+  }
 
   const broadcastHealth = (listing: Listing, hasFailed: boolean): void => {
     const report: HealthReport = [listing.id, listing.startedAt, hasFailed ? 1 : 0]
@@ -140,11 +161,18 @@
     if (pathBreakers.stateOf(listing.id, now) !== 'held') markPathSuspect(listing, 'overdue', '', now)
   }
 
+  const countEarlierVMs = (target: string, vms: readonly string[]): number => {
+    const ownOrder = hashText(`trial\n${target}\n${self}`)
+    return vms.filter(vm => vm !== self && hashText(`trial\n${target}\n${vm}`) < ownOrder).length
+  }
+
   /** Delay before this VM may probe a target; staggers the VMs in an order that differs for each target. */
   const probeDelayMs = (target: string, now: number): number => {
-    const ownOrder = hashText(`trial\n${target}\n${self}`)
-    const earlier = options.servingVMs(now).filter(vm => vm !== self && hashText(`trial\n${target}\n${vm}`) < ownOrder)
-    return PROBE_STAGGER_MS * earlier.length
+    const vms = options.servingVMs(now)
+    if (vms !== probeOrder.vms) probeOrder = { vms, earlierVMs: new Map() }
+    const earlierVMs = probeOrder.earlierVMs.get(target) ?? countEarlierVMs(target, vms)
+    probeOrder.earlierVMs.set(target, earlierVMs)
+    return PROBE_STAGGER_MS * earlierVMs
   }
 
   const affinities = new Map<string, number>()
@@ -157,12 +185,12 @@
   const candidateOf = (listing: Listing, now: number): Candidate => {
     const { id } = listing
     const circuit = circuitOf(id, now)
-    const isSharedProbe = responseBreakers.stateOf(id, now) === 'due'
+    const isSharedProbe = circuit !== 'sound' && responseBreakers.stateOf(id, now) === 'due'
     const warmupFactor = listing.warmupMs > 0 ? 2 : 1
     return {
       listing,
       circuit,
-      halfOpenMs: circuit === 'sound' ? 0 : Math.min(...allBreakers.filter(each => each.stateOf(id, now) !== 'sound').map(each => each.halfOpenMs(id, now))),
+      halfOpenMs: circuit === 'sound' ? 0 : halfOpenMsOf(id, now),
       load: loads.total(id, now),
       relativeLatency: Math.max(warmupFactor, latenciesOf(listing.service).relativeLatency(id, now)),
       lastSuccessAgeMs: now - loads.lastSuccessAt(id),
