--- a/src/roster/roster.ts
+++ b/src/roster/roster.ts
@@ -3,7 +3,7 @@
 import type { Clock, Peer, Place, VM } from '../model/index.js'
 import type { LinkMesh } from '../peer/index.js'
 import { packStatus, statusChannel, unpackStatus, type Status } from './messages.js'
-import { selectServing, sortByRank, type ServingCandidate } from './serving-vms.js'
+import { selectServing, sortByRank, type Demand, type ServingCandidate } from './serving-vms.js'
 import { selectLinks, type LinkCandidate } from './wanted-links.js'
 import { createZoneDemand, type ZoneDemand } from './zone-demand.js'
 
@@ -116,8 +116,8 @@
 
   const places = (): readonly Place[] => [...new Set([...known.values()].map(({ place }) => place))]
 
-  const demandCores = (zone: Place, now: number): number =>
-    Math.max(options.expectedCores() / places().length, demands.get(zone)?.peakCores(now) ?? 0)
+  const demandOf = (zone: Place, now: number): Demand =>
+    ({ measuredCores: demands.get(zone)?.peakCores(now) ?? 0, expectedCores: options.expectedCores() / places().length })
 
   /** Selects the serving VMs of a zone, and records what those that were selected before use. */
   const selectInZone = (zone: Place, zoneCandidates: readonly MeasuredCandidate[], now: number): readonly VM[] => {
@@ -125,7 +125,7 @@
     demands.set(zone, demand)
     const previous = selected.get(zone) ?? new Set()
     demand.record(zoneCandidates.reduce((sum, { vm, usedCores }) => previous.has(vm.name) ? sum + usedCores : sum, 0), now)
-    const serving = selectServing(zoneCandidates, demandCores(zone, now))
+    const serving = selectServing(zoneCandidates, demandOf(zone, now))
     selected.set(zone, new Set(serving.map(({ name }) => name)))
     return serving
   }
@@ -166,7 +166,7 @@
       return { vm, readyMs: status?.readyMs ?? assumedReadyMs, isAvailable: status?.phase !== 'leaving' && isReachable(vm.name, now) }
     })
     const own: readonly LinkCandidate[] = zone === self.place ? [{ vm: self, readyMs: assumedReadyMs, isAvailable: phase !== 'leaving' }] : []
-    return selectLinks([...own, ...others], demandCores(zone, now)).filter(vm => vm !== self)
+    return selectLinks([...own, ...others], demandOf(zone, now)).filter(vm => vm !== self)
   }
 
   return {
--- a/src/roster/serving-vms.test.ts
+++ b/src/roster/serving-vms.test.ts
@@ -1,7 +1,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { VM } from '../model/index.js'
-import { coresOf, selectServing, sortByRank, type ServingCandidate } from './serving-vms.js'
+import { coresOf, selectServing, sortByRank, type Demand, type ServingCandidate } from './serving-vms.js'
 
 const test = suite('serving VMs')
 
@@ -9,6 +9,7 @@
 const COLD = 500
 /** Demand that three VMs of one core serve at the target utilisation. */
 const DEMAND_OF_THREE = 1.8
+const DEMAND: Demand = { measuredCores: 2, expectedCores: 1 }
 
 const vmOf = (index: number, cores: number): VM => {
   const endpoint = { address: '10.0.0.1', port: index + 1 }
@@ -34,21 +35,32 @@
   ['no VM serves without candidates', [], () => WARM, 1, 0]
 ]
 
-for (const [name, vms, readyMs, demandCores, chosen] of cases) {
-  test(name, () => assert.is(selectServing(withReadyMs(vms, readyMs), demandCores).length, chosen))
+for (const [name, vms, readyMs, measuredCores, chosen] of cases) {
+  test(name, () => assert.is(selectServing(withReadyMs(vms, readyMs), { measuredCores, expectedCores: 0 }).length, chosen))
+}
+
+const expectations: ReadonlyArray<readonly [name: string, vms: readonly VM[], readyMs: (vm: VM) => number, demand: Demand, chosen: number]> = [
+  ['an expected demand is served like a measured one by warm VMs', equalVMs, () => WARM, { measuredCores: 0, expectedCores: DEMAND_OF_THREE }, 3],
+  ['cold VMs become warm before an expected demand arrives', equalVMs, () => COLD, { measuredCores: 0, expectedCores: 4 * DEMAND_OF_THREE }, 12],
+  ['the higher demand counts', equalVMs, () => WARM, { measuredCores: DEMAND_OF_THREE, expectedCores: 2 * DEMAND_OF_THREE }, 6],
+  ['large VMs are enough for an expected demand while all are cold', mixedVMs, () => COLD, { measuredCores: 0, expectedCores: 1.6 }, 2]
+]
+
+for (const [name, vms, readyMs, demand, chosen] of expectations) {
+  test(name, () => assert.is(selectServing(withReadyMs(vms, readyMs), demand).length, chosen))
 }
 
 const demands: readonly number[] = [0, 0.2, 0.5, 1, 1.6, 1.7, 2, 3, 5]
 for (const demandCores of demands) {
   test(`a demand of ${demandCores} cores loads no VM beyond its capacity`, () => {
-    const chosen = selectServing(withReadyMs(mixedVMs, () => WARM), demandCores)
+    const chosen = selectServing(withReadyMs(mixedVMs, () => WARM), { measuredCores: demandCores, expectedCores: 0 })
     for (const vm of chosen) assert.ok(demandCores / chosen.length < coresOf(vm), `${vm.name} of ${chosen.length}`)
   })
 }
 
 test('the selection does not depend on the order of the candidates', () => {
   const candidates = withReadyMs(mixedVMs, () => WARM)
-  assert.equal(selectServing([...candidates].reverse(), 2), selectServing(candidates, 2))
+  assert.equal(selectServing([...candidates].reverse(), DEMAND), selectServing(candidates, DEMAND))
 })
 
 test('large VMs rank before small ones', () => {
--- a/src/roster/serving-vms.ts
+++ b/src/roster/serving-vms.ts
@@ -20,6 +20,14 @@
 /** Number of warm VMs whose capacity is selected at least, so that the loss of one leaves another. */
 const MIN_WARM_VMS = 2
 
+/** Processor time that the callers of a zone need, in cores. */
+export interface Demand {
+  /** What the serving VMs use; they serve it now, so cold VMs count with their present capacity. */
+  readonly measuredCores: number
+  /** What the callers may come to need; cold VMs count as warm ones, because they will be by then. */
+  readonly expectedCores: number
+}
+
 /** Position of a VM among those of equal capacity. Does not depend on the other VMs, so a VM that leaves changes no other position. */
 function hashOf (vm: VM): number {
   return hashText(`serving\n${vm.name}`)
@@ -51,9 +59,25 @@
   return { vm, cores: coresOf(vm) * (isWarm ? 1 : COLD_CAPACITY), hash: hashOf(vm) }
 }
 
-/** Capacity of the first `count` VMs, in cores. Callers spread evenly over the VMs, so the smallest limits it. */
-function capacityOf (ranked: readonly Ranked[], count: number): number {
-  return count * (ranked[count - 1]?.cores ?? 0)
+/**
+ * Smallest number of VMs, in the order of their rank, that carry the demand. Callers spread evenly over the
+ * VMs, so the smallest one limits the capacity. If no number is enough, the one with the largest capacity.
+ */
+function countServing (ranked: readonly Ranked[], { measuredCores, expectedCores }: Demand): number {
+  const smallestCores = Math.min(...ranked.map(({ vm }) => coresOf(vm)))
+  const presentCapacity = Math.max(measuredCores / TARGET_UTILISATION, MIN_WARM_VMS * smallestCores)
+  const warmCapacity = expectedCores / TARGET_UTILISATION
+  let smallestWarmCores = Infinity
+  let best = { count: 0, capacity: 0 }
+  for (const [index, { vm, cores }] of ranked.entries()) {
+    const count = index + 1
+    smallestWarmCores = Math.min(smallestWarmCores, coresOf(vm))
+    const hasMinimum = count >= Math.min(MIN_WARM_VMS, ranked.length)
+    if (!hasMinimum) continue
+    if (count * cores >= presentCapacity && count * smallestWarmCores >= warmCapacity) return count
+    if (count * cores > best.capacity) best = { count, capacity: count * cores }
+  }
+  return best.count
 }
 
 /**
@@ -62,19 +86,12 @@
  * the same candidates. Large and warm VMs come first. Cold VMs count as small ones, so more of them serve, for
  * example after a restart of most VMs.
  *
- * @param demandCores processor time that the callers of the zone need, in cores
- * @returns the VMs in the order of their rank; those with the largest capacity if none meets the demand
+ * @returns the VMs in the order of their rank
  *
  * @example
- * selectServing(candidates, 0.9).map(({ name }) => name)
+ * selectServing(candidates, { measuredCores: 0.9, expectedCores: 0.5 }).map(({ name }) => name)
  */
-export function selectServing (candidates: readonly ServingCandidate[], demandCores: number): readonly VM[] {
+export function selectServing (candidates: readonly ServingCandidate[], demand: Demand): readonly VM[] {
   const ranked = candidates.map(rank).sort(compareRank)
-  const smallestCores = Math.min(...candidates.map(({ vm }) => coresOf(vm)))
-  const neededCores = Math.max(demandCores / TARGET_UTILISATION, MIN_WARM_VMS * smallestCores)
-  let count = Math.min(MIN_WARM_VMS, ranked.length)
-  for (let next = count; next <= ranked.length && capacityOf(ranked, count) < neededCores; next++) {
-    if (capacityOf(ranked, next) > capacityOf(ranked, count)) count = next
-  }
-  return ranked.slice(0, count).map(({ vm }) => vm)
+  return ranked.slice(0, countServing(ranked, demand)).map(({ vm }) => vm)
 }
--- a/src/roster/wanted-links.ts
+++ b/src/roster/wanted-links.ts
@@ -1,6 +1,6 @@
 /** Selection of the VMs of a zone to which a VM keeps links. */
 import type { VM } from '../model/index.js'
-import { selectServing, sortByRank } from './serving-vms.js'
+import { selectServing, sortByRank, type Demand } from './serving-vms.js'
 
 /** A VM to which a link may be kept. */
 export interface LinkCandidate {
@@ -19,11 +19,11 @@
  * available at the moment and may return.
  *
  * @example
- * selectLinks(candidates, 0.9).map(({ name }) => name)
+ * selectLinks(candidates, { measuredCores: 0.9, expectedCores: 0.5 }).map(({ name }) => name)
  */
-export function selectLinks (candidates: readonly LinkCandidate[], demandCores: number): readonly VM[] {
+export function selectLinks (candidates: readonly LinkCandidate[], demand: Demand): readonly VM[] {
   const available = candidates.filter(({ isAvailable }) => isAvailable)
-  const serving = new Set(selectServing(available, demandCores))
+  const serving = new Set(selectServing(available, demand))
   const availableVMs = new Set(available.map(({ vm }) => vm))
   const chosen: VM[] = []
   let extraLinks = 0
