--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -204,6 +204,18 @@
     return NOT_FOUND
   }
 
+  let wasServing = false
+  /** Logs when callers are directed to this VM, and when they no longer are. */
+  const logServing = (now: number): void => {
+    const isServing = roster.isServing(now)
+    if (isServing === wasServing) return
+    wasServing = isServing
+    const { measuredCores, expectedCores: forecastCores } = roster.demand(now)
+    log.info(isServing ? 'serving.started' : 'serving.ended', {
+      vms: roster.serving(now).map(({ name }) => name), measuredCores: Number(measuredCores.toFixed(2)), expectedCores: Number(forecastCores.toFixed(2))
+    })
+  }
+
   const housekeeping = Effect.forever(Effect.suspend(() => {
     const now = clock()
     loadMeter.sample()
@@ -212,6 +224,7 @@
       log.warn('vm.slow', { utilisation: Number(loadMeter.utilisation().toFixed(2)) })
       roster.announce(now)
     }
+    logServing(now)
     catalog.sweep(now)
     quarantine.sweep(now)
     if (readySince === undefined && catalog.ruleset() !== undefined && catalog.upTo('listings') > 0) {
--- a/src/roster/roster.test.ts
+++ b/src/roster/roster.test.ts
@@ -5,6 +5,7 @@
 import type { LinkMesh, LinkObserver } from '../peer/index.js'
 import { packStatus, type PackedStatus, type Status } from './messages.js'
 import { createRoster, type Roster } from './roster.js'
+import { sortByRank } from './serving-vms.js'
 
 const test = suite('roster')
 
@@ -31,7 +32,7 @@
   readonly linkNames: () => readonly string[]
 }
 
-function createHarness (self: VM, expectedCores: number, readyMs = WARM_MS): Harness {
+function createHarness (self: VM, expectedCores: number, ownStatus: Partial<Status> = {}): Harness {
   let now = 0
   const observers: LinkObserver[] = []
   let receive: (from: Peer, body: PackedStatus) => void = () => {}
@@ -44,7 +45,7 @@
   }
   const peer = (vm: string): Peer => ({ vm, incarnation: '1' })
   const roster = createRoster({
-    self, mesh, expectedCores: () => expectedCores, status: () => statusOf({ cores: self.cores ?? 1, readyMs }), onStatus: () => {}, log: SILENT, clock: () => now
+    self, mesh, expectedCores: () => expectedCores, status: () => statusOf({ cores: self.cores ?? 1, ...ownStatus }), onStatus: () => {}, log: SILENT, clock: () => now
   })
   const open = (vm: VM): void => { for (const observer of observers) observer.opened?.(peer(vm.name), vm) }
   return {
@@ -104,28 +105,66 @@
 })
 
 test('links are wanted to all serving VMs and one more, without knowing their status', () => {
-  const { roster, linkNames } = createHarness(self, 0.6)
+  const { roster, linkNames, advance } = createHarness(self, 0.6)
   roster.add(others)
+  advance(WARM_MS)
   const links = linkNames()
   assert.ok(links.length >= 4 && links.length <= 5, links.join())
 })
 
-test('all VMs of a zone select the same VMs while all are cold', () => {
-  const selections = smallVMs.map(vm => {
-    const { roster, link, report, linkNames, servingNames, advance } = createHarness(vm, 0.3, COLD_MS)
-    roster.add(smallVMs)
-    // Each round opens the wanted links.
-    for (let round = 0; round < 3; round++) {
-      for (const name of linkNames()) {
-        link(vmOf(name))
-        report(name, { readyMs: COLD_MS })
+interface AgreementCase {
+  readonly name: string
+  readonly vms: readonly VM[]
+  readonly expectedCores: number
+  readonly statusOf: (vm: VM) => Partial<Status>
+  readonly serving: number
+}
+
+const mixedVMs = [...smallVMs, vmOf('a-large-1', 1.25), vmOf('a-large-2', 1.25)]
+const isLarge = ({ cores = 0 }: VM): boolean => cores > 1
+
+const agreements: readonly AgreementCase[] = [
+  { name: 'all are cold', vms: smallVMs, expectedCores: 0.3, statusOf: () => ({ readyMs: COLD_MS }), serving: 6 },
+  { name: 'all are warm', vms: mixedVMs, expectedCores: 1, statusOf: () => ({}), serving: 2 },
+  { name: 'the large ones are slow', vms: mixedVMs, expectedCores: 1, statusOf: vm => isLarge(vm) ? { readyMs: 0, usedCores: 0.4 } : {}, serving: 7 },
+  { name: 'the large ones stop', vms: mixedVMs, expectedCores: 1, statusOf: vm => isLarge(vm) ? { phase: 'leaving' } : {}, serving: 7 }
+]
+
+for (const { name, vms, expectedCores, statusOf: overridesOf, serving } of agreements) {
+  // Guards against VMs that add themselves because they have no links to the others that could serve.
+  test(`all VMs of a zone select the same VMs while ${name}`, () => {
+    const remaining = vms.filter(vm => overridesOf(vm).phase !== 'leaving')
+    const selections = remaining.map(vm => {
+      const { roster, link, report, linkNames, servingNames, advance } = createHarness(vm, expectedCores, overridesOf(vm))
+      roster.add(vms)
+      // Each round opens the wanted links.
+      for (let round = 0; round < 8; round++) {
+        for (const other of vms.filter(each => linkNames().includes(each.name))) {
+          link(other)
+          report(other.name, { cores: other.cores ?? 1, ...overridesOf(other) })
+        }
+        advance(250)
+        servingNames()
       }
-      advance(250)
-    }
-    return servingNames()
+      return [...servingNames()].sort()
+    })
+    for (const selection of selections) assert.equal(selection, selections[0])
+    assert.is(selections[0]?.length, serving)
   })
-  for (const selection of selections) assert.equal(selection, selections[0])
-  assert.is(selections[0]?.length, 6)
+}
+
+// Guards against a zone in which each VM adds itself, and then links to all other zones.
+test('a VM does not serve in place of others that it has no links to', () => {
+  const last = sortByRank(smallVMs).at(-1) ?? self
+  const { roster, link, report, linkNames, servingNames, advance } = createHarness(last, 1)
+  roster.add(mixedVMs)
+  for (let ms = 0; ms < WARM_MS; ms += 250) {
+    advance(250)
+    if (ms < 1000) link(...mixedVMs.filter(({ name }) => linkNames().includes(name)))
+  }
+  for (const { name, cores = 1 } of mixedVMs.filter(isLarge)) report(name, { cores, readyMs: 0, usedCores: 0.4 })
+  assert.not(servingNames().includes(last.name), servingNames().join())
+  assert.is(linkNames().length, 8)
 })
 
 test('a VM that cannot be reached is replaced by the next one, and still dialled', () => {
--- a/src/roster/roster.ts
+++ b/src/roster/roster.ts
@@ -3,7 +3,8 @@
 import type { Clock, Peer, Place, VM } from '../model/index.js'
 import type { LinkMesh } from '../peer/index.js'
 import { packStatus, statusChannel, unpackStatus, type Status } from './messages.js'
-import { selectServing, sortByRank, type Demand, type ServingCandidate } from './serving-vms.js'
+import { createReachability } from './reachability.js'
+import { selectServing, sortByRank, type Demand } from './serving-vms.js'
 import { selectLinks, type LinkCandidate } from './wanted-links.js'
 import { createZoneDemand, type ZoneDemand } from './zone-demand.js'
 
@@ -27,6 +28,8 @@
   /** VMs that callers in this VM's zone should use; VMs of other zones if the zone has none. */
   readonly serving: (now: number) => readonly VM[]
   readonly isServing: (now: number) => boolean
+  /** Demand of the callers of this VM's zone, on which the selection of the serving VMs is based. */
+  readonly demand: (now: number) => Demand
   /** Linked VMs of other zones that serve. */
   readonly servingInOtherZones: (now: number) => readonly VM[]
   /** Position of this VM among the live VMs of its zone; 0 is the first. */
@@ -50,14 +53,12 @@
   readonly clock: Clock
 }
 
-/** A candidate with its reported use. */
-interface MeasuredCandidate extends ServingCandidate {
+/** A VM of the roster with what its status says about it. */
+interface RosterCandidate extends LinkCandidate {
   readonly usedCores: number
+  readonly isReady: boolean
 }
 
-/** A VM to which no link opens for this time is replaced by the next one in rank, in ms. */
-const UNREACHABLE_AFTER_MS = 1500
-
 /**
  * Creates a roster that contains only this VM.
  *
@@ -70,6 +71,8 @@
   const { self, mesh, clock } = options
   const known = new Map<string, VM>([[self.name, self]])
   const linked = new Map<string, LinkedVM>()
+  const createdAt = clock()
+  const reachability = createReachability()
   const demands = new Map<Place, ZoneDemand>()
   /** Names of the VMs that were last selected to serve each zone. */
   const selected = new Map<Place, ReadonlySet<string>>()
@@ -101,72 +104,76 @@
       const linkedVM = { ...known.get(vm.name), ...vm }
       known.set(vm.name, linkedVM)
       linked.set(from.vm, { vm: linkedVM, status: undefined, receivedAt: -Infinity })
+      reachability.recordLinked(from.vm)
     },
-    closed: from => linked.delete(from.vm)
+    closed: from => {
+      linked.delete(from.vm)
+      reachability.recordLost(from.vm)
+    }
   })
 
   const isAlive = (place: Place) => ({ vm, status }: LinkedVM): boolean => vm.place === place && status?.phase !== 'leaving'
 
-  const candidates = (now: number): readonly MeasuredCandidate[] => {
-    const own = options.status(now)
-    const others = [...linked.values()].flatMap(({ vm, status, receivedAt }) =>
-      status?.phase === 'ready' ? [{ vm, readyMs: status.readyMs + now - receivedAt, usedCores: status.usedCores }] : [])
-    return own.phase === 'ready' ? [{ vm: self, readyMs: own.readyMs, usedCores: own.usedCores }, ...others] : others
+  const ownCandidate = (now: number): RosterCandidate => {
+    const { phase, readyMs, usedCores } = options.status(now)
+    return { vm: self, readyMs, usedCores, isReady: phase === 'ready', isAvailable: phase !== 'leaving' }
+  }
+
+  const candidateOf = (vm: VM, now: number): RosterCandidate => {
+    const { status, receivedAt = now } = linked.get(vm.name) ?? {}
+    if (status !== undefined) {
+      const readyMs = status.readyMs + now - receivedAt
+      return { vm, readyMs, usedCores: status.usedCores, isReady: status.phase === 'ready', isAvailable: status.phase !== 'leaving' }
+    }
+    // Without a status, a VM is assumed to have started together with this one, as it has when a whole zone starts.
+    return { vm, readyMs: now - createdAt, usedCores: 0, isReady: false, isAvailable: reachability.isReachable(vm.name, now) }
   }
 
+  const candidatesIn = (zone: Place, now: number): readonly RosterCandidate[] =>
+    [...known.values()].filter(({ place }) => place === zone).map(vm => vm.name === self.name ? ownCandidate(now) : candidateOf(vm, now))
+
   const places = (): readonly Place[] => [...new Set([...known.values()].map(({ place }) => place))]
+  const otherPlaces = (): readonly Place[] => places().filter(place => place !== self.place)
 
   const demandOf = (zone: Place, now: number): Demand =>
     ({ measuredCores: demands.get(zone)?.peakCores(now) ?? 0, expectedCores: options.expectedCores() / places().length })
 
-  /** Selects the serving VMs of a zone, and records what those that were selected before use. */
-  const selectInZone = (zone: Place, zoneCandidates: readonly MeasuredCandidate[], now: number): readonly VM[] => {
+  /** Records what the VMs that were selected before use. */
+  const recordDemand = (zone: Place, candidates: readonly RosterCandidate[], now: number): void => {
     const demand = demands.get(zone) ?? createZoneDemand()
     demands.set(zone, demand)
     const previous = selected.get(zone) ?? new Set()
-    demand.record(zoneCandidates.reduce((sum, { vm, usedCores }) => previous.has(vm.name) ? sum + usedCores : sum, 0), now)
-    const serving = selectServing(zoneCandidates, demandOf(zone, now))
-    selected.set(zone, new Set(serving.map(({ name }) => name)))
-    return serving
+    demand.record(candidates.reduce((sum, { vm, usedCores }) => previous.has(vm.name) ? sum + usedCores : sum, 0), now)
   }
 
-  const serving = (now: number): readonly VM[] => {
-    const all = candidates(now)
-    const zoneCandidates = all.filter(({ vm }) => vm.place === self.place)
-    return selectInZone(self.place, zoneCandidates.length > 0 ? zoneCandidates : all, now)
+  /** The ready ones of the VMs that should serve a zone. Selected among all VMs, so that VMs with other links select the same. */
+  const servingIn = (zone: Place, now: number): readonly VM[] => {
+    const candidates = candidatesIn(zone, now)
+    recordDemand(zone, candidates, now)
+    const demand = demandOf(zone, now)
+    const chosen = new Set(selectServing(candidates.filter(({ isAvailable }) => isAvailable), demand))
+    selected.set(zone, new Set([...chosen].map(({ name }) => name)))
+    const ready = candidates.filter(({ isReady }) => isReady)
+    const serving = ready.filter(({ vm }) => chosen.has(vm)).map(({ vm }) => vm)
+    return serving.length > 0 ? sortByRank(serving) : selectServing(ready, demand)
   }
 
-  const servingInOtherZones = (now: number): readonly VM[] => {
-    const otherZoneCandidates = candidates(now).filter(({ vm }) => vm.place !== self.place)
-    const zones = new Set(otherZoneCandidates.map(({ vm }) => vm.place))
-    return [...zones].flatMap(zone => selectInZone(zone, otherZoneCandidates.filter(({ vm }) => vm.place === zone), now))
+  const servingInOtherZones = (now: number): readonly VM[] => otherPlaces().flatMap(zone => servingIn(zone, now))
+
+  const serving = (now: number): readonly VM[] => {
+    const local = servingIn(self.place, now)
+    return local.length > 0 ? local : servingInOtherZones(now)
   }
 
   const isServing = (now: number): boolean => serving(now).some(({ name }) => name === self.name)
 
-  /** When each VM was first found without an open link although one is wanted, in ms on this VM's clock. */
-  const unlinkedSince = new Map<string, number>()
+  const linksInZone = (zone: Place, now: number): readonly VM[] => selectLinks(candidatesIn(zone, now), demandOf(zone, now))
 
-  const isReachable = (name: string, now: number): boolean => {
-    if (linked.has(name)) {
-      unlinkedSince.delete(name)
-      return true
-    }
-    const since = unlinkedSince.get(name) ?? now
-    unlinkedSince.set(name, since)
-    return now - since <= UNREACHABLE_AFTER_MS
-  }
-
-  const linksInZone = (zone: Place, now: number): readonly VM[] => {
-    // Without a status, a VM is assumed to have started together with this one, as it has when a whole zone starts.
-    const { readyMs: assumedReadyMs, phase } = options.status(now)
-    const zoneVMs = [...known.values()].filter(({ name, place }) => place === zone && name !== self.name)
-    const others = zoneVMs.map((vm): LinkCandidate => {
-      const status = linked.get(vm.name)?.status
-      return { vm, readyMs: status?.readyMs ?? assumedReadyMs, isAvailable: status?.phase !== 'leaving' && isReachable(vm.name, now) }
-    })
-    const own: readonly LinkCandidate[] = zone === self.place ? [{ vm: self, readyMs: assumedReadyMs, isAvailable: phase !== 'leaving' }] : []
-    return selectLinks([...own, ...others], demandOf(zone, now)).filter(vm => vm !== self)
+  const linksWanted = (now: number): readonly VM[] => {
+    const zones = isServing(now) ? places() : [self.place]
+    const wanted = zones.flatMap(zone => linksInZone(zone, now)).filter(({ name }) => name !== self.name)
+    reachability.setWanted(wanted.map(({ name }) => name).filter(name => !linked.has(name)), now)
+    return wanted
   }
 
   return {
@@ -174,12 +181,8 @@
     add: vms => { for (const vm of vms) known.set(vm.name, { ...vm, ...known.get(vm.name) }) },
     known: () => [...known.values()],
     linked: () => [...linked.values()],
-    linksWanted: now => {
-      const zoneVMs = linksInZone(self.place, now)
-      if (!isServing(now)) return zoneVMs
-      const otherZones = places().filter(place => place !== self.place)
-      return [...zoneVMs, ...otherZones.flatMap(zone => linksInZone(zone, now))]
-    },
+    linksWanted,
+    demand: now => demandOf(self.place, now),
     serving,
     isServing,
     servingInOtherZones,
