--- a/src/placing/load-balancer.test.ts
+++ b/src/placing/load-balancer.test.ts
@@ -9,7 +9,6 @@
 const test = suite('load balancer')
 
 const SILENT: Log = { info: () => {}, warn: () => {}, error: () => {} }
-const NO_LINKS: Mesh = { contacts: () => [], subscribe: () => {}, send: () => false }
 /** Longer than the open time after a first failure, in ms. */
 const OPEN_MS = 600
 
@@ -22,10 +21,18 @@
   readonly end: (id: string, result: Result) => void
   /** Target id or refusal kind by request; queued requests have none. */
   readonly outcomes: Readonly<Record<string, string>>
+  /** VMs to which messages were sent. */
+  readonly receivers: readonly string[]
 }
 
-function createHarness (ids: readonly string[]): Harness {
+function createHarness (ids: readonly string[], servingVMs: readonly string[] = ['vm-1']): Harness {
   let now = 0
+  const receivers: string[] = []
+  const mesh: Mesh = {
+    contacts: () => ['vm-2', 'vm-3', 'vm-4'].map(vm => ({ vm, incarnation: '1', lastEchoAt: 0, roundTripMs: 1 })),
+    subscribe: () => {},
+    send: vm => receivers.push(vm) > 0
+  }
   const catalog = createCatalog(SILENT)
   const changes = ids.map((id): Change => ({
     version: 1,
@@ -36,8 +43,8 @@
     self: 'vm-1',
     zone: 'a',
     catalog,
-    mesh: NO_LINKS,
-    servingVMs: () => ['vm-1'],
+    mesh,
+    servingVMs: () => servingVMs,
     zonePeers: () => [],
     otherZoneVMs: () => [],
     retries: () => ({ ratio: 0.2, windowMs: 10_000, slack: 64 }),
@@ -51,6 +58,7 @@
   return {
     balancer,
     outcomes,
+    receivers,
     advance: ms => {
       now += ms
       balancer.sweep(now)
@@ -129,6 +137,14 @@
   assert.is(harness.outcomes['third'], 'overloaded')
 })
 
+// Guards against messages that grow with the number of VMs that serve no callers.
+test('a failure is reported to the other serving VMs only', () => {
+  const harness = createHarness(['t-1'], ['vm-1', 'vm-2', 'vm-3'])
+  harness.request('failing')
+  harness.end('failing', 'failed')
+  assert.equal(harness.receivers, ['vm-2', 'vm-3'])
+})
+
 test('a request is refused immediately when there is no target', () => {
   const harness = createHarness([])
   harness.request('first')
--- a/src/placing/messages.ts
+++ b/src/placing/messages.ts
@@ -13,7 +13,7 @@
 /** Id of a target, start time of its process, and 1 if it failed or 0 if it recovered. */
 export type HealthReport = Checked<typeof checkHealthReport>
 
-/** Sent to all linked VMs immediately when a target fails a request, or a suspect target serves one. */
+/** Sent to the serving VMs of all zones immediately when a target fails a request, or a suspect target serves one. */
 export const healthReportChannel: Channel<HealthReport> = { kind: 'verdict', parse: checkHealthReport }
 
 const checkLoadReport = list(tuple(text(ID_LIMIT, 1), integer(0, 65_535), integer(0)), TARGETS_LIMIT)
--- a/src/placing/target-states.ts
+++ b/src/placing/target-states.ts
@@ -105,7 +105,8 @@
 
   const broadcastHealth = (listing: Listing, hasFailed: boolean): void => {
     const report: HealthReport = [listing.id, listing.startedAt, hasFailed ? 1 : 0]
-    for (const { vm } of mesh.contacts()) mesh.send(vm, healthReportChannel, report)
+    // Other VMs get hardly any requests; one that starts to serve learns of a failing target with its first request there.
+    for (const vm of options.servingVMs(clock())) if (vm !== self) mesh.send(vm, healthReportChannel, report)
   }
 
   const markSuspect = (listing: Listing, reason: string, requestId: string, now: number): void => {
