--- a/src/roster/serving-vms.ts
+++ b/src/roster/serving-vms.ts
@@ -15,8 +15,10 @@
 const COLD_CAPACITY = 0.35
 /** Processor capacity of a VM that states none, in cores. */
 const DEFAULT_CORES = 1
-/** Utilisation of the serving VMs up to which no further VM is selected; the rest absorbs bursts and uneven shares. */
-const TARGET_UTILISATION = 0.6
+/** Utilisation of the serving VMs by the measured demand up to which no further VM is selected; the rest absorbs bursts and uneven shares. */
+const MAX_MEASURED_UTILISATION = 0.6
+/** The same for an expected demand, which is what the targets can run at most. */
+const MAX_EXPECTED_UTILISATION = 0.8
 /** Number of warm VMs whose capacity is selected at least, so that the loss of one leaves another. */
 const MIN_WARM_VMS = 2
 
@@ -65,8 +67,8 @@
  */
 function countServing (ranked: readonly Ranked[], { measuredCores, expectedCores }: Demand): number {
   const smallestCores = Math.min(...ranked.map(({ vm }) => coresOf(vm)))
-  const presentCapacity = Math.max(measuredCores / TARGET_UTILISATION, MIN_WARM_VMS * smallestCores)
-  const warmCapacity = expectedCores / TARGET_UTILISATION
+  const presentCapacity = Math.max(measuredCores / MAX_MEASURED_UTILISATION, MIN_WARM_VMS * smallestCores)
+  const warmCapacity = expectedCores / MAX_EXPECTED_UTILISATION
   let smallestWarmCores = Infinity
   let best = { count: 0, capacity: 0 }
   for (const [index, { vm, cores }] of ranked.entries()) {
