--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -139,7 +139,7 @@
     // A slow VM reports an uptime of 0, as if it had just started, so that other VMs are preferred.
     readyMs: readySince === undefined || lagMonitor.isSlow(now) ? 0 : now - readySince,
     cores: coresOf(vm),
-    usedCores: readySince === undefined || now - readySince < STARTUP_LOAD_MS ? 0 : loadMeter.utilisation() * coresOf(vm)
+    usedCores: readySince === undefined || now - readySince < STARTUP_LOAD_MS ? 0 : loadMeter.requestCores(coresOf(vm))
   })
   const roster: Roster = createRoster({
     self: vm,
@@ -218,7 +218,8 @@
 
   const housekeeping = Effect.forever(Effect.suspend(() => {
     const now = clock()
-    loadMeter.sample()
+    const { framesSent, framesReceived } = mesh.traffic()
+    loadMeter.sample(framesSent + framesReceived)
     instruments.logLoad(components, now)
     if (lagMonitor.recordTick(now)) {
       log.warn('vm.slow', { utilisation: Number(loadMeter.utilisation().toFixed(2)) })
--- a/src/roster/messages.ts
+++ b/src/roster/messages.ts
@@ -19,7 +19,7 @@
   readonly readyMs: number
   /** Processor capacity of the VM, in cores. */
   readonly cores: number
-  /** Part of the capacity that is in use, in cores. */
+  /** Part of the capacity that is in use for other work than messages between VMs, in cores. */
   readonly usedCores: number
 }
 
--- a/src/roster/serving-vms.ts
+++ b/src/roster/serving-vms.ts
@@ -65,18 +65,12 @@
  * Smallest number of VMs, in the order of their rank, that carry the demand. Callers spread evenly over the
  * VMs, so the smallest one limits the capacity. If no number is enough, the one with the largest capacity.
  */
-function countServing (ranked: readonly Ranked[], { measuredCores, expectedCores }: Demand): number {
-  const smallestCores = Math.min(...ranked.map(({ vm }) => coresOf(vm)))
-  const presentCapacity = Math.max(measuredCores / MAX_MEASURED_UTILISATION, MIN_WARM_VMS * smallestCores)
-  const warmCapacity = expectedCores / MAX_EXPECTED_UTILISATION
-  let smallestWarmCores = Infinity
+function countServing (ranked: readonly Ranked[], neededCores: number, maxCount: number): number {
   let best = { count: 0, capacity: 0 }
-  for (const [index, { vm, cores }] of ranked.entries()) {
+  for (const [index, { cores }] of ranked.slice(0, maxCount).entries()) {
     const count = index + 1
-    smallestWarmCores = Math.min(smallestWarmCores, coresOf(vm))
-    const hasMinimum = count >= Math.min(MIN_WARM_VMS, ranked.length)
-    if (!hasMinimum) continue
-    if (count * cores >= presentCapacity && count * smallestWarmCores >= warmCapacity) return count
+    if (count < Math.min(MIN_WARM_VMS, ranked.length)) continue
+    if (count * cores >= neededCores) return count
     if (count * cores > best.capacity) best = { count, capacity: count * cores }
   }
   return best.count
@@ -93,7 +87,13 @@
  * @example
  * selectServing(candidates, { measuredCores: 0.9, expectedCores: 0.5 }).map(({ name }) => name)
  */
-export function selectServing (candidates: readonly ServingCandidate[], demand: Demand): readonly VM[] {
+export function selectServing (candidates: readonly ServingCandidate[], { measuredCores, expectedCores }: Demand): readonly VM[] {
+  const smallestCores = Math.min(...candidates.map(({ vm }) => coresOf(vm)))
+  const presentCores = Math.max(measuredCores / MAX_MEASURED_UTILISATION, MIN_WARM_VMS * smallestCores)
+  const whenWarm = candidates.map(({ vm }) => rank({ vm, readyMs: Infinity })).sort(compareRank)
+  const warmCount = countServing(whenWarm, Math.max(presentCores, expectedCores / MAX_EXPECTED_UTILISATION), whenWarm.length)
   const ranked = candidates.map(rank).sort(compareRank)
-  return ranked.slice(0, countServing(ranked, demand)).map(({ vm }) => vm)
+  // Cold VMs need help for seconds only, and each further VM costs the others messages.
+  const presentCount = countServing(ranked, presentCores, Math.ceil(warmCount / COLD_CAPACITY))
+  return ranked.slice(0, Math.max(warmCount, presentCount)).map(({ vm }) => vm)
 }
