--- a/src/roster/roster.test.ts
+++ b/src/roster/roster.test.ts
@@ -170,6 +170,15 @@
   assert.is(linkNames().length, 7)
 })
 
+// Guards against links between all VMs of all zones while a fleet starts.
+test('a VM that is ready before the selected ones links to its own zone only', () => {
+  const last = sortByRank(smallVMs).at(-1) ?? self
+  const { roster, linkNames, servingNames } = createHarness(last, 1)
+  roster.add([...mixedVMs, vmOf('b-0'), vmOf('b-1')])
+  assert.equal(servingNames(), [last.name])
+  assert.equal(linkNames().filter(name => name.startsWith('b')), [])
+})
+
 test('a VM that cannot be reached is replaced by the next one, and still dialled', () => {
   const { roster, linkNames, advance } = createHarness(vmOf('b-0'), 0)
   roster.add([vmOf('b-1', 2), vmOf('b-2', 1), vmOf('b-3', 0.5), vmOf('b-4', 0.4)])
--- a/src/roster/roster.ts
+++ b/src/roster/roster.ts
@@ -170,7 +170,10 @@
   const linksInZone = (zone: Place, now: number): readonly VM[] => selectLinks(candidatesIn(zone, now), demandOf(zone, now))
 
   const linksWanted = (now: number): readonly VM[] => {
-    const zones = isServing(now) ? places() : [self.place]
+    // A VM that serves only until the selected ones are ready keeps no links to other zones.
+    servingIn(self.place, now)
+    const isSelected = selected.get(self.place)?.has(self.name) ?? false
+    const zones = isSelected ? places() : [self.place]
     const wanted = zones.flatMap(zone => linksInZone(zone, now)).filter(({ name }) => name !== self.name)
     reachability.setWanted(wanted.map(({ name }) => name).filter(name => !linked.has(name)), now)
     return wanted
