--- a/src/roster/roster.ts
+++ b/src/roster/roster.ts
@@ -19,11 +19,11 @@
 
 /** The VMs of the fleet. */
 export interface Roster {
-  /** Adds VMs that the store or a peer listed; those already known stay unchanged. */
+  /** Adds VMs that the store or a peer listed; of those already known, only a missing capacity is taken. */
   readonly add: (vms: readonly VM[]) => void
   readonly known: () => readonly VM[]
   readonly linked: () => readonly LinkedVM[]
-  /** VMs to keep links to: the first reachable ones of this VM's zone, and of the other zones too if this VM serves. */
+  /** VMs to keep links to: the serving ones of this VM's zone and the next in rank, and those of the other zones too if this VM is selected to serve. */
   readonly linksWanted: (now: number) => readonly VM[]
   /** VMs that callers in this VM's zone should use; VMs of other zones if the zone has none. */
   readonly serving: (now: number) => readonly VM[]
