Match refusals of targets with the request before they are believed

A target that sends an earlier refusal once more on a kept connection made a VM tell its caller 'not run, try again' for a request that the target had run, or send such a request to a second target. The classification trusted 421 and Not-Executed without the attempt id; the native dialect ignored the request id of all responses.

A refusal with another attempt id now says nothing about the request: it may have run, and the connection is closed.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -171,7 +171,7 @@
 
   const handleHead = (head: ReceivedResponse): Effect.Effect<AttemptOutcome> => Effect.suspend(() => {
     headReceivedAt = clock()
-    const classification = context.dialect.classify(head.targetResponse, exchange.id)
+    const classification = context.dialect.classify(head.targetResponse, { requestId: exchange.id, isConnectionReused: connection?.isReused ?? false })
     const { result, run, detail } = classification
     // A response to another request shows that the connection is out of sync, so it is not reused.
     if (classification.isCorrelated) received = head
--- a/src/entry/dialect.ts
+++ b/src/entry/dialect.ts
@@ -30,6 +30,13 @@
   readonly requestRun: RunState
 }
 
+/** The request that a target's response is matched with. */
+export interface AwaitedResponse {
+  readonly requestId: string
+  /** Whether an earlier exchange used the connection, so that a response may belong to that one. */
+  readonly isConnectionReused: boolean
+}
+
 /** Classification of a target's response by its head. */
 export interface Classification {
   readonly result: Result
@@ -53,7 +60,7 @@
   readonly strippedRequestHeaders: ReadonlySet<string>
   /** Headers added to each request to a target, with alternating names and values. */
   readonly requestHeaders: (request: ForwardedRequest) => readonly string[]
-  readonly classify: (targetResponse: IncomingMessage, requestId: string) => Classification
+  readonly classify: (targetResponse: IncomingMessage, awaited: AwaitedResponse) => Classification
   /** Headers of a target's response that are not relayed. */
   readonly strippedResponseHeaders: ReadonlySet<string>
   /** Headers added to each relayed response of a target. */
--- a/src/entry/native-dialect.ts
+++ b/src/entry/native-dialect.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from 'node:http'
 import { err, ok, type Result as Outcome } from 'neverthrow'
 import { toErrorResponse, refusal, type Refusal } from '../errors/index.js'
-import type { CallerOptions, Dialect, Classification } from './dialect.js'
+import type { AwaitedResponse, CallerOptions, Dialect, Classification } from './dialect.js'
 import { CALLER_HEADER, DEADLINE_HEADER, REPLAYED_HEADER, REQUEST_ID_HEADER, RUN_HEADER, STATE_HEADER, headerTokens, headerValues, type RawHeaders } from './headers.js'
 
 /** Longer keys do not fit into the platform's table. */
@@ -39,7 +39,16 @@
   return targetResponse.statusCode === 503 && headerValues(targetResponse.rawHeaders, RUN_HEADER).join() === 'not-run'
 }
 
-function classify (targetResponse: IncomingMessage): Classification {
+/** Whether a response states the id of another request. Targets need not state one. */
+function belongsToOther (targetResponse: IncomingMessage, { requestId }: AwaitedResponse): boolean {
+  const ids = headerValues(targetResponse.rawHeaders, REQUEST_ID_HEADER)
+  return ids.length > 0 && ids.join() !== requestId
+}
+
+function classify (targetResponse: IncomingMessage, awaited: AwaitedResponse): Classification {
+  if (belongsToOther(targetResponse, awaited)) {
+    return { result: 'failed', run: 'may-have-run', detail: 'the response belongs to another request', isDeliverable: false, isCorrelated: false }
+  }
   const isNotRun = isShedResponse(targetResponse)
   const run = isNotRun ? 'not-run' : 'ran'
   const isDraining = headerTokens(targetResponse.rawHeaders, STATE_HEADER).includes('draining')
