Do not give up the last permitted attempt on a silent connection

It was the second of two attempts on a reused connection; both were aborted after half of the remaining time, although after the second no other was permitted.

An attempt is aborted for silence only if another may follow. The new case of platform/requests.test.ts failed before (502 instead of 200).

--- a/src/entry/forward.ts
+++ b/src/entry/forward.ts
@@ -70,6 +70,9 @@
   /** Number of attempts whose request may have reached a target. */
   let sentCount = 0
 
+  /** Whether another attempt is permitted after the current one, which was sent to a target. */
+  const hasAttemptAfterCurrent = (): boolean => sentCount + 1 < (route.class.maxAttempts ?? Infinity)
+
   const takeRetryToken = (): boolean => {
     hasRetryToken ||= options.takeRetryToken(service, clock())
     return hasRetryToken
@@ -87,7 +90,7 @@
     class: route.class.name,
     earliestIdleSince,
     stallTimeoutMs: now => stallTimeoutFor(options, plan, now),
-    canAbortStalled: () => body.isReplayable() && takeRetryToken(),
+    canAbortStalled: () => hasAttemptAfterCurrent() && body.isReplayable() && takeRetryToken(),
     beforeSend: checks.run,
     fingerprint: checks.fingerprint,
     pools,
