--- a/src/catalog/catalog.test.ts
+++ b/src/catalog/catalog.test.ts
@@ -42,6 +42,32 @@
     },
     usable: []
   },
+  {
+    name: 'a batch that another VM forwards late does not bring back a target that has left',
+    run: catalog => {
+      catalog.apply(fullListingBatch(5, listingChange(2, two)), 0)
+      catalog.apply(listingBatchAfter(5, 8, withdrawnChange(8, 't-1')), 0)
+      catalog.apply(listingBatchAfter(4, 6, listingChange(6, one)), 0)
+    },
+    usable: ['t-2']
+  },
+  {
+    name: 'an old snapshot of another VM does not bring back a target that has left',
+    run: catalog => {
+      catalog.apply(fullListingBatch(5, listingChange(1, one), listingChange(2, two)), 0)
+      catalog.apply(listingBatchAfter(5, 8, withdrawnChange(8, 't-1')), 0)
+      catalog.apply(fullListingBatch(6, listingChange(1, one), listingChange(2, two)), 0)
+    },
+    usable: ['t-2']
+  },
+  {
+    name: 'a batch that begins before the known version adds what is newer',
+    run: catalog => {
+      catalog.apply(fullListingBatch(5, listingChange(1, one)), 0)
+      catalog.apply(listingBatchAfter(3, 6, listingChange(6, two)), 0)
+    },
+    usable: ['t-1', 't-2']
+  },
   {
     name: 'a complete batch removes all entries that it lacks',
     run: catalog => {
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -132,7 +132,9 @@
     if (batch.after !== undefined && batch.after > state.upTo[batch.section]) return false
     const isStale = batch.upTo < state.upTo[batch.section]
     const applyChange = batch.section === 'rulesets' ? applyRuleset : applyListing
-    const applied = batch.changes.map(change => applyChange(change, now))
+    // An older change is known, or its entry was removed since; only a current snapshot can correct what is known.
+    const isKnown = ({ version }: Change): boolean => version <= state.upTo[batch.section] && (isStale || batch.after !== undefined)
+    const applied = batch.changes.filter(change => !isKnown(change)).map(change => applyChange(change, now))
     // Entries that a stale batch lacks, such as one that another VM read earlier, may have been added since.
     const removed = batch.after === undefined && !isStale && batch.section === 'listings' && withdrawMissing(batch, now)
     state.upTo[batch.section] = Math.max(state.upTo[batch.section], batch.upTo)
