--- a/src/edge/expected-demand.test.ts
+++ b/src/edge/expected-demand.test.ts
@@ -21,6 +21,7 @@
   ['100 slots that respond in 400 ms run 250 requests/s', rulesetOf(search), listings('search', 25), 0.75],
   ['the demand grows with the targets', rulesetOf(search), listings('search', 250), 7.5],
   ['the objective of a service is the average of its rules', rulesetOf(search, rule('photos', 400, 'search')), listings('search', 25), 1],
+  ['a target that states far more slots than the others counts like a large one of them', rulesetOf(search), [...listings('search', 25), { ...listings('search', 1)[0] as Listing, id: 'odd', slots: 10_000 }], 0.87],
   ['targets of a service without rules get no requests', rulesetOf(search), listings('other', 25), 0]
 ]
 
