Bound the retries of all VMs together while they disagree about who serves

Each VM took the slack divided by the serving VMs in its view, at once after its start: while VMs start each sees itself alone, and restarted VMs take a part that their predecessors had used.

Retries are counted by their times instead of in buckets.

--- a/measure/capacity/edge.ts
+++ b/measure/capacity/edge.ts
@@ -108,6 +108,7 @@
       servingVMs: () => ['vm-1'],
       zonePeers: () => [],
       otherZoneVMs: () => [],
+      retryShare: () => 1,
       retries: () => ({ ratio: 0.2, windowMs: 10_000, slack: 64 }),
       observe: () => {},
       random: Math.random,
--- a/measure/placing/model.ts
+++ b/measure/placing/model.ts
@@ -134,6 +134,7 @@
       zonePeers: () => names.filter(other => other !== name && zoneOf(other) === zone),
       otherZoneVMs: () => names.filter(other => zoneOf(other) !== zone),
       retries: () => ({ ratio: 0.2, windowMs: 10_000, slack: 64 }),
+      retryShare: () => 1 / names.length,
       observe: () => {},
       random,
       log: SILENT_LOG,
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -6,7 +6,7 @@
 import type { Log } from '../log/index.js'
 import type { Clock } from '../model/index.js'
 import { createIncarnation, createMesh, type PeerMesh } from '../peer/index.js'
-import { createLoadBalancer, type LoadBalancer } from '../placing/index.js'
+import { createLoadBalancer, createRetryShare, type LoadBalancer } from '../placing/index.js'
 import { createQuarantine } from '../quarantine/index.js'
 import { coresOf, createRoster, type Roster, type Status } from '../roster/index.js'
 import type { Store } from '../store/index.js'
@@ -152,6 +152,8 @@
   })
   const catalogSync: CatalogSync = createCatalogSync({ place: vm.place, store, catalog, mesh, roster: () => roster, random, log, clock })
   const servingVMs = createServingView(roster, vm.name)
+  const retryShare = createRetryShare(() => settings.retries.windowMs)
+  const retryShareAt = (now: number): number => retryShare.at(servingVMs.count(now), now)
   const quarantine = createQuarantine({ mesh, log, clock, members: () => servingVMs.all(clock()).filter(name => name !== vm.name) })
   const loadBalancer = createLoadBalancer({
     self: vm.name,
@@ -162,6 +164,7 @@
     zonePeers: servingVMs.local,
     otherZoneVMs: servingVMs.remote,
     retries: () => settings.retries,
+    retryShare: retryShareAt,
     observe: (observation, now) => {
       quarantine.observe(observation, now)
       instruments.recordObservation(observation)
@@ -226,6 +229,7 @@
       roster.announce(now)
     }
     logServing(now)
+    retryShareAt(now)
     catalog.sweep(now)
     quarantine.sweep(now)
     if (readySince === undefined && catalog.ruleset() !== undefined && catalog.upTo('listings') > 0) {
--- a/src/edge/serving-view.ts
+++ b/src/edge/serving-view.ts
@@ -1,5 +1,6 @@
 /** Cached view of the VMs that serve callers, as seen by one VM. */
 import type { Catalog } from '../catalog/index.js'
+import type { ServingCount } from '../placing/index.js'
 import type { Roster } from '../roster/index.js'
 
 /** Names of the VMs that serve callers. */
@@ -10,10 +11,13 @@
   readonly local: (now: number) => readonly string[]
   /** In other zones, limited to VMs with an open link. */
   readonly remote: (now: number) => readonly string[]
+  /** Whether this VM is one of them, and how many there are at least, with those that are selected and not ready yet. */
+  readonly count: (now: number) => ServingCount
 }
 
-/** Minimum time between recomputations; the view is read for every request. */
+/** Minimum times between recomputations, in ms; the view is read for every request. A VM that does not serve gets few, and has to notice that it does. */
 const REFRESH_INTERVAL_MS = 100
+const IDLE_REFRESH_INTERVAL_MS = 10
 
 /** Creates the view of the VM named `self`. */
 export function createServingView (roster: Roster, self: string): ServingView {
@@ -21,13 +25,18 @@
   let nearest: readonly string[] = []
   let remote: readonly string[] = []
   let all: readonly string[] = []
+  let count: ServingCount = { isServing: false, vms: 1 }
   const refresh = (now: number): void => {
-    if (now - computedAt < REFRESH_INTERVAL_MS) return
+    if (now - computedAt < (count.isServing ? REFRESH_INTERVAL_MS : IDLE_REFRESH_INTERVAL_MS)) return
     computedAt = now
     nearest = roster.serving(now).map(({ name }) => name)
     remote = roster.servingInOtherZones(now).map(({ name }) => name)
     const names = [...new Set([self, ...nearest, ...remote])]
     if (names.join() !== all.join()) all = names
+    const zones = new Set(roster.known().map(({ place }) => place)).size
+    const perZone = Math.max(nearest.length, roster.selectedCount())
+    // Other zones count as large as this VM's, whether or not this VM has links to them.
+    count = { isServing: nearest.includes(self), vms: Math.max(all.length, perZone * zones) }
   }
   return {
     all: now => {
@@ -41,6 +50,10 @@
     remote: now => {
       refresh(now)
       return remote
+    },
+    count: now => {
+      refresh(now)
+      return count
     }
   }
 }
--- a/src/placing/load-balancer.test.ts
+++ b/src/placing/load-balancer.test.ts
@@ -48,6 +48,7 @@
     zonePeers: () => [],
     otherZoneVMs: () => [],
     retries: () => ({ ratio: 0.2, windowMs: 10_000, slack: 64 }),
+    retryShare: () => 1,
     observe: () => {},
     random: () => 0.5,
     log: SILENT,
--- a/src/placing/load-balancer.ts
+++ b/src/placing/load-balancer.ts
@@ -59,6 +59,8 @@
   /** Names of the serving VMs of other zones. */
   readonly otherZoneVMs: (now: number) => readonly string[]
   readonly retries: () => RetryBudgetLimits
+  /** Part of the fleet's slack of retries that this VM may use, from 0 to 1. */
+  readonly retryShare: (now: number) => number
   /** Receives the outcome of each attempt. */
   readonly observe: (observation: Observation, now: number) => void
   readonly random: () => number
@@ -152,7 +154,7 @@
     const selection = chooseTarget(candidates, {
       zone,
       idempotent: request.idempotent,
-      canRetry: !isRetry && state.budget.canWithdraw(vmCount(now), now),
+      canRetry: !isRetry && state.budget.canWithdraw(options.retryShare(now), now),
       isSpread: state.history.isFailing(now),
       hasQueue: state.queue.length > 0,
       nonIdempotentProbeAfterMs: isRetry ? Infinity : nonIdempotentProbeAfterMs(state, candidates, now),
@@ -314,7 +316,7 @@
 
   return {
     acquire,
-    tryWithdrawRetry: (service, now) => stateOf(service).budget.tryWithdraw(vmCount(now), now),
+    tryWithdrawRetry: (service, now) => stateOf(service).budget.tryWithdraw(options.retryShare(now), now),
     depositRetry: (service, now) => stateOf(service).budget.deposit(now),
     averageLatencyMs: (service, className) => targets.latenciesOf(service).averageMs(className),
     sweep,
--- a/src/placing/retry-budget.test.ts
+++ b/src/placing/retry-budget.test.ts
@@ -10,15 +10,15 @@
 test('without requests, each VM gets its share of the slack', () => {
   const budget = createRetryBudget(() => LIMITS)
   let taken = 0
-  while (budget.tryWithdraw(8, 0)) taken++
+  while (budget.tryWithdraw(1 / 8, 0)) taken++
   assert.is(taken, 5)
 })
 
 test('retries are available again after the window', () => {
   const budget = createRetryBudget(() => LIMITS)
-  while (budget.tryWithdraw(8, 0));
-  assert.is(budget.tryWithdraw(8, 9999), false)
-  assert.is(budget.tryWithdraw(8, 10_001), true)
+  while (budget.tryWithdraw(1 / 8, 0));
+  assert.is(budget.tryWithdraw(1 / 8, 9999), false)
+  assert.is(budget.tryWithdraw(1 / 8, 10_001), true)
 })
 
 /** Checks the limit of all VMs together in every window of a random schedule. */
@@ -36,7 +36,7 @@
         budget?.deposit(now)
         requests.push(now)
       }
-      for (let i = 0; i < desiredRetries; i++) if (budget?.tryWithdraw(8, now) === true) retries.push(now)
+      for (let i = 0; i < desiredRetries; i++) if (budget?.tryWithdraw(1 / 8, now) === true) retries.push(now)
     }
     const within = (times: readonly number[], end: number): number =>
       times.filter(at => at > end - LIMITS.windowMs && at <= end).length
--- a/src/placing/retry-budget.ts
+++ b/src/placing/retry-budget.ts
@@ -19,21 +19,20 @@
 export interface RetryBudget {
   /** Records a request. */
   readonly deposit: (now: number) => void
-  /** Whether a retry is allowed. `vms`: number of VMs that share the slack. */
-  readonly canWithdraw: (vms: number, now: number) => boolean
+  /** Whether a retry is allowed. `share`: part of the slack that this VM may use, from 0 to 1. */
+  readonly canWithdraw: (share: number, now: number) => boolean
   /** Records a retry if it is allowed; returns false if not. */
-  readonly tryWithdraw: (vms: number, now: number) => boolean
+  readonly tryWithdraw: (share: number, now: number) => boolean
 }
 
-/** Fraction of the limit that is used, as a margin: windows of different VMs are not aligned, and VMs come and go. */
+/** Fraction of the limit that is used, as a margin: windows of different VMs are not aligned, and their views of the serving VMs can differ. */
 const USABLE_SHARE = 0.7
-/** Buckets per window. */
+/** Buckets of requests per window. */
 const BUCKETS = 10
 
 interface Bucket {
   readonly index: number
   requests: number
-  retries: number
 }
 
 /**
@@ -42,38 +41,36 @@
  * @example
  * const budget = createRetryBudget(() => ({ ratio: 0.2, windowMs: 10_000, slack: 64 }))
  * budget.deposit(now)
- * if (budget.tryWithdraw(9, now)) retry()
+ * if (budget.tryWithdraw(1 / 9, now)) retry()
  */
 export function createRetryBudget (limits: () => RetryBudgetLimits): RetryBudget {
   let buckets: Bucket[] = []
+  /** Times of the retries of the last window. */
+  let retries: readonly number[] = []
 
   const current = (now: number): Bucket => {
     const index = Math.floor(now * BUCKETS / limits().windowMs)
     const last = buckets.at(-1)
     if (last !== undefined && last.index >= index) return last
-    const bucket: Bucket = { index, requests: 0, retries: 0 }
+    const bucket: Bucket = { index, requests: 0 }
     buckets = [...buckets.filter(each => each.index > index - BUCKETS), bucket]
     return bucket
   }
 
-  const canWithdraw = (vms: number, now: number): boolean => {
+  const canWithdraw = (share: number, now: number): boolean => {
     current(now)
-    let requests = 0
-    let retries = 0
-    for (const bucket of buckets) {
-      requests += bucket.requests
-      retries += bucket.retries
-    }
-    const { ratio, slack } = limits()
-    return retries + 1 <= USABLE_SHARE * (ratio * requests + slack / Math.max(1, vms))
+    const { ratio, slack, windowMs } = limits()
+    const requests = buckets.reduce((sum, bucket) => sum + bucket.requests, 0)
+    retries = retries.filter(at => at > now - windowMs)
+    return retries.length + 1 <= USABLE_SHARE * (ratio * requests + slack * share)
   }
 
   return {
     deposit: now => { current(now).requests++ },
     canWithdraw,
-    tryWithdraw: (vms, now) => {
-      if (!canWithdraw(vms, now)) return false
-      current(now).retries++
+    tryWithdraw: (share, now) => {
+      if (!canWithdraw(share, now)) return false
+      retries = [...retries, now]
       return true
     }
   }
--- a/src/roster/roster.ts
+++ b/src/roster/roster.ts
@@ -28,6 +28,8 @@
   /** VMs that callers in this VM's zone should use; VMs of other zones if the zone has none. */
   readonly serving: (now: number) => readonly VM[]
   readonly isServing: (now: number) => boolean
+  /** Number of VMs that were last selected to serve this VM's zone, whether or not they are ready. */
+  readonly selectedCount: () => number
   /** Demand of the callers of this VM's zone, on which the selection of the serving VMs is based. */
   readonly demand: (now: number) => Demand
   /** Linked VMs of other zones that serve. */
@@ -188,6 +190,7 @@
     demand: now => demandOf(self.place, now),
     serving,
     isServing,
+    selectedCount: () => selected.get(self.place)?.size ?? 0,
     servingInOtherZones,
     rank: () => {
       const alive = [...linked.values()].filter(isAlive(self.place)).map(({ vm }) => vm)
