Wake a VM that serves nobody less often

Each link woke it eight times a second, the reader election ten times, checks of links and housekeeping four times each, and it was told of every confirmation of either section.

Heartbeats go once a second except between two serving VMs (timeout 2.5 s instead of 2 s there), the election is evaluated when a confirmation is overdue, links are checked once a second while all are open, housekeeping of an idle VM runs once a second. The long polls of both sections end together and are announced with one message. Hashes of the ranking are kept for each VM.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -29,6 +29,13 @@
 /** Connections that were idle for longer are not reused, because the peer may have dropped them silently. */
 const MAX_REUSE_IDLE_MS = 3000
 const HOUSEKEEPING_INTERVAL_MS = 250
+/** The same while no caller is directed to this VM: each wake-up costs processor time. */
+const IDLE_HOUSEKEEPING_INTERVAL_MS = 1000
+/** Interval between heartbeats to other VMs, in ms, except between two VMs that serve callers. */
+const IDLE_HEARTBEAT_INTERVAL_MS = 1000
+const SERVING_HEARTBEAT_INTERVAL_MS = 500
+/** Interval between checks of the wanted links while all of them are open, in ms. */
+const LINKED_CHECK_INTERVAL_MS = 1000
 /** Delay before the second VM of a pair dials. It avoids duplicate dials, as most links are wanted by only one of the two. */
 const SECOND_DIAL_DELAY_MS = 200
 /** Fraction of the grace period during which a stopping VM still accepts requests, so that callers can refresh their addresses. */
@@ -111,7 +118,7 @@
   let readySince: number | undefined
   let isLeaving = false
 
-  const lagMonitor = createLagMonitor(HOUSEKEEPING_INTERVAL_MS)
+  const lagMonitor = createLagMonitor()
   const loadMeter = createLoadMeter(options.eventLoopTime ?? readEventLoopTime)
   const instruments = createInstruments(log, clock)
   const catalog = createCatalog(log)
@@ -127,6 +134,8 @@
     key: Buffer.from('camphorbay'),
     wanted: () => roster.linksWanted(clock()),
     secondDialDelayMs: SECOND_DIAL_DELAY_MS,
+    linkedCheckIntervalMs: LINKED_CHECK_INTERVAL_MS,
+    heartbeatIntervalMs: peer => servingVMs.count(clock()).isServing && servingVMs.all(clock()).includes(peer) ? SERVING_HEARTBEAT_INTERVAL_MS : IDLE_HEARTBEAT_INTERVAL_MS,
     log,
     clock
   })
@@ -219,12 +228,13 @@
     })
   }
 
+  let intervalMs = HOUSEKEEPING_INTERVAL_MS
   const housekeeping = Effect.forever(Effect.suspend(() => {
     const now = clock()
     const { framesSent, framesReceived } = mesh.traffic()
     loadMeter.sample(framesSent + framesReceived)
     instruments.logLoad(components, now)
-    if (lagMonitor.recordTick(now)) {
+    if (lagMonitor.recordTick(intervalMs, now)) {
       log.warn('vm.slow', { utilisation: Number(loadMeter.utilisation().toFixed(2)) })
       roster.announce(now)
     }
@@ -237,7 +247,8 @@
       log.info('vm.ready', { ruleset: catalog.ruleset()?.version, targets: catalog.listings().length })
       roster.announce(now)
     }
-    return Effect.sleep(HOUSEKEEPING_INTERVAL_MS)
+    intervalMs = readySince === undefined || wasServing ? HOUSEKEEPING_INTERVAL_MS : IDLE_HOUSEKEEPING_INTERVAL_MS
+    return Effect.sleep(intervalMs)
   }))
 
   const components: EdgeComponents = { catalog, mesh, roster, catalogSync, loadBalancer, entry, loadMeter }
--- a/src/edge/lag-monitor.test.ts
+++ b/src/edge/lag-monitor.test.ts
@@ -14,8 +14,8 @@
 
 for (const [name, ticks, at, isSlow] of cases) {
   test(name, () => {
-    const monitor = createLagMonitor(250)
-    for (const now of ticks) monitor.recordTick(now)
+    const monitor = createLagMonitor()
+    for (const now of ticks) monitor.recordTick(250, now)
     assert.is(monitor.isSlow(at), isSlow)
   })
 }
--- a/src/edge/lag-monitor.ts
+++ b/src/edge/lag-monitor.ts
@@ -9,28 +9,28 @@
 
 /** Monitors the lag of one periodic timer. Times are in ms on one monotonic clock. */
 export interface LagMonitor {
-  /** Records a tick of the timer; returns true when the VM changes from normal to slow. */
-  readonly recordTick: (now: number) => boolean
+  /** Records a tick of the timer that was due `periodMs` after the one before; returns true when the VM changes from normal to slow. */
+  readonly recordTick: (periodMs: number, now: number) => boolean
   readonly isSlow: (now: number) => boolean
 }
 
 /**
- * Creates a monitor for a timer that ticks every `periodMs`.
+ * Creates a monitor of a timer that has not ticked.
  *
  * @example
- * const monitor = createLagMonitor(250)
- * monitor.recordTick(0)
- * monitor.recordTick(400)
- * monitor.recordTick(800) // true
+ * const monitor = createLagMonitor()
+ * monitor.recordTick(250, 0)
+ * monitor.recordTick(250, 400)
+ * monitor.recordTick(250, 800) // true
  */
-export function createLagMonitor (periodMs: number): LagMonitor {
+export function createLagMonitor (): LagMonitor {
   let lastTickAt: number | undefined
   let lateTicks = 0
   let lastSlowAt = -Infinity
   const isSlow = (now: number): boolean => now - lastSlowAt < SLOW_HOLD_MS
   return {
     isSlow,
-    recordTick: now => {
+    recordTick: (periodMs, now) => {
       const isLate = lastTickAt !== undefined && now - lastTickAt > periodMs + MAX_TIMER_LAG_MS
       lastTickAt = now
       lateTicks = isLate ? lateTicks + 1 : 0
--- a/src/following/catalog-sync.ts
+++ b/src/following/catalog-sync.ts
@@ -7,21 +7,32 @@
 import type { Roster, Status } from '../roster/index.js'
 import type { Store, StoreFailure } from '../store/index.js'
 import { batchChannel, snapshotRequestChannel } from './messages.js'
-import { isReader, TAKEOVER_MS } from './reader-election.js'
+import { isReader, takeoverMs, TAKEOVER_MS } from './reader-election.js'
 
-/** Longest wait of a long poll for changes, in ms; shorter than `TAKEOVER_MS`, within which a confirmation is due. */
+/** Period in which the long polls for changes end, in ms. With `LONG_POLL_MIN_MS` shorter than `TAKEOVER_MS`, within which a confirmation is due. */
 const LONG_POLL_MS = 1000
+/** A long poll that would end sooner waits for the next period too, in ms. */
+const LONG_POLL_MIN_MS = 100
 /** Pause after a batch of changes, in ms, so that changes in quick succession arrive with one call. */
 const COALESCING_MS = 40
 /** Time without any confirmation that indicates an outage of the store, in ms: every VM has tried to read it by then. */
 const OUTAGE_MS = 2100
-/** Interval at which a VM that does not read evaluates the reader election, in ms. */
-const ELECTION_INTERVAL_MS = 200
+/** Bounds on the interval at which a VM that does not read evaluates the reader election, in ms; it can only change when a confirmation is overdue. */
+const ELECTION_INTERVAL_MIN_MS = 100
+const ELECTION_INTERVAL_MAX_MS = 1000
+/** Delay before the status is announced after a response of the store, in ms, so that responses for both sections are announced together. */
+const ANNOUNCEMENT_DELAY_MS = 10
 /** Shortest time between two snapshot requests for a section, in ms. */
 const SNAPSHOT_REQUEST_INTERVAL_MS = 150
 const BACKOFF_MIN_MS = 150
 const BACKOFF_MAX_MS = 2000
 
+/** Wait of a long poll that starts now. The polls of both sections end together, so that a VM wakes its peers once for both. */
+function longPollMs (now: number): number {
+  const remainingMs = LONG_POLL_MS - Math.floor(now) % LONG_POLL_MS
+  return remainingMs < LONG_POLL_MIN_MS ? remainingMs + LONG_POLL_MS : remainingMs
+}
+
 /** Synchronises the catalog with the store. */
 export interface CatalogSync {
   /** Runs one task per section until interrupted. */
@@ -103,6 +114,16 @@
     calls.set(key, (calls.get(key) ?? 0) + 1)
   }
 
+  let isAnnouncementDue = false
+  const announceSoon = (): void => {
+    if (isAnnouncementDue) return
+    isAnnouncementDue = true
+    setTimeout(() => {
+      isAnnouncementDue = false
+      options.roster().announce(clock())
+    }, ANNOUNCEMENT_DELAY_MS)
+  }
+
   const applyBatch = (state: SectionState, batch: Batch): void => {
     const now = clock()
     const { section } = state
@@ -115,7 +136,7 @@
     state.needsSnapshot = !catalog.apply(batch, now)
     markConfirmed(section, now)
     if (batch.changes.length > 0 || batch.after === undefined) forward(batch)
-    options.roster().announce(now)
+    announceSoon()
   }
 
   const handleFailure = (state: SectionState, { kind, detail }: StoreFailure): Effect.Effect<void> => Effect.suspend(() => {
@@ -134,7 +155,7 @@
 
   const readOnce = (state: SectionState): Effect.Effect<void> => {
     const { section } = state
-    const read = state.needsSnapshot ? store.read(section) : store.changes(section, catalog.upTo(section), state.isImmediate ? 0 : LONG_POLL_MS)
+    const read = state.needsSnapshot ? store.read(section) : store.changes(section, catalog.upTo(section), state.isImmediate ? 0 : longPollMs(clock()))
     return read.pipe(
       Effect.tap(batch => Effect.sync(() => applyBatch(state, batch))),
       Effect.flatMap(batch => batch.changes.length > 0 && batch.after !== undefined ? Effect.sleep(COALESCING_MS) : Effect.void),
@@ -160,8 +181,13 @@
     return shouldRead
   }
 
+  const electionIntervalMs = ({ section }: SectionState, now: number): number => {
+    const overdueInMs = takeoverMs(options.roster().rank()) - (now - confirmedAt[section])
+    return Math.min(ELECTION_INTERVAL_MAX_MS, Math.max(ELECTION_INTERVAL_MIN_MS, overdueInMs))
+  }
+
   const syncSection = (state: SectionState): Effect.Effect<never> => Effect.forever(Effect.suspend(() =>
-    updateRole(state) ? readOnce(state) : Effect.sleep(ELECTION_INTERVAL_MS)))
+    updateRole(state) ? readOnce(state) : Effect.sleep(electionIntervalMs(state, clock()))))
 
   const requestSnapshot = (peer: string, section: Section, now: number): void => {
     const state = states[section]
--- a/src/following/reader-election.ts
+++ b/src/following/reader-election.ts
@@ -25,6 +25,11 @@
 /** VMs above this rank take over at the same time: the store has refused all those before them. */
 const MAX_DELAY_RANK = 4
 
+/** Time without a confirmation after which a VM of the rank starts to read, in ms. */
+export function takeoverMs (rank: number): number {
+  return TAKEOVER_MS + RANK_DELAY_MS * Math.min(rank, MAX_DELAY_RANK)
+}
+
 /**
  * Whether this VM reads the store. The first live VM of a zone always does. Another one starts when its
  * catalog is no longer confirmed, and stops when a VM of lower rank has contact with the store.
@@ -35,5 +40,5 @@
 export function isReader ({ rank, confirmedAgeMs, isReading, hasActivePredecessor }: ReaderState): boolean {
   if (rank === 0) return true
   if (isReading) return !hasActivePredecessor
-  return confirmedAgeMs > TAKEOVER_MS + RANK_DELAY_MS * Math.min(rank, MAX_DELAY_RANK)
+  return confirmedAgeMs > takeoverMs(rank)
 }
--- a/src/peer/constants.ts
+++ b/src/peer/constants.ts
@@ -27,8 +27,11 @@
 /** A link is closed when no new echo has arrived for this time. */
 export const ECHO_TIMEOUT_MS = 2000
 
-/** Interval between checks of the echo timeout. Half the heartbeat interval keeps detection under 3 s. */
-export const ECHO_CHECK_INTERVAL_MS = HEARTBEAT_INTERVAL_MS / 2
+/** Lower bound of the echo timeout, as a multiple of the heartbeat interval: the echo of a heartbeat waits for the peer's next one. */
+export const ECHO_TIMEOUT_INTERVALS = 2.5
+
+/** Checks of the echo timeout per heartbeat. With the usual interval, two keep detection under 3 s. */
+export const ECHO_CHECKS_PER_HEARTBEAT = 2
 
 /** A timer that fires later than this shows that the process itself was paused. */
 export const PAUSE_THRESHOLD_MS = 1000
--- a/src/peer/heartbeat-tracker.ts
+++ b/src/peer/heartbeat-tracker.ts
@@ -4,7 +4,7 @@
  * All times are on this VM's clock. The peer sends only durations.
  */
 import { err, ok, type Result } from 'neverthrow'
-import { ECHO_TIMEOUT_MS } from './constants.js'
+import { ECHO_TIMEOUT_INTERVALS, ECHO_TIMEOUT_MS } from './constants.js'
 import { linkFailure, type LinkFailure } from './failure.js'
 import type { Heartbeat } from './messages.js'
 
@@ -20,8 +20,8 @@
    * can have written it, or undefined if it contains no echo yet.
    */
   readonly receive: (message: Heartbeat, now: number) => Result<number | undefined, LinkFailure>
-  /** Whether the echo timeout has passed since the last new echo arrived. */
-  readonly isEchoOverdue: (now: number) => boolean
+  /** Whether the echo timeout of a heartbeat interval has passed since the last new echo arrived. */
+  readonly isEchoOverdue: (intervalMs: number, now: number) => boolean
   /** Restarts the echo timeout, for use after a pause of this process itself. */
   readonly restartEchoTimeout: (now: number) => void
   /** Time at which the latest echoed heartbeat was sent. */
@@ -74,7 +74,7 @@
       recordEcho(message, now)
       return ok(message.echo < 0 ? undefined : Math.min(now, echoSentAt + message.heldMs))
     },
-    isEchoOverdue: now => now - echoReceivedAt > ECHO_TIMEOUT_MS,
+    isEchoOverdue: (intervalMs, now) => now - echoReceivedAt > Math.max(ECHO_TIMEOUT_MS, intervalMs * ECHO_TIMEOUT_INTERVALS),
     restartEchoTimeout: now => { echoReceivedAt = now },
     lastEchoAt: () => echoSentAt,
     roundTripMs: () => roundTripMs,
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -4,7 +4,7 @@
 import type { Log } from '../log/index.js'
 import type { Clock, Peer } from '../model/index.js'
 import { decode, encode } from './codec.js'
-import { FRAME_LIMIT_BYTES, HANDSHAKE_TIMEOUT_MS, HEARTBEAT_INTERVAL_MS, MAX_LOGGED_DIAL_FAILURES, PAUSE_THRESHOLD_MS, SEND_BUFFER_LIMIT_BYTES, ECHO_CHECK_INTERVAL_MS } from './constants.js'
+import { FRAME_LIMIT_BYTES, HANDSHAKE_TIMEOUT_MS, MAX_LOGGED_DIAL_FAILURES, PAUSE_THRESHOLD_MS, SEND_BUFFER_LIMIT_BYTES, ECHO_CHECKS_PER_HEARTBEAT } from './constants.js'
 import type { Dispatcher } from './dispatcher.js'
 import { errorKindOf, linkFailure, type LinkFailure } from './failure.js'
 import { FRAME_OVERHEAD_BYTES } from './frame.js'
@@ -22,6 +22,8 @@
   readonly dispatcher: Dispatcher
   /** Whether the peer's incarnation is not older than the latest known one. */
   readonly isCurrent: (peer: Peer) => boolean
+  /** Interval between heartbeats to a peer, in ms. */
+  readonly heartbeatIntervalMs: (peer: string) => number
   readonly opened: (link: Link) => void
   readonly closed: (link: Link, failure: LinkFailure) => void
 }
@@ -98,13 +100,15 @@
 /** Sends heartbeats and fails when the echo timeout has passed. */
 const runHeartbeats = (context: LinkContext, link: Link): Effect.Effect<never, LinkFailure> => Effect.gen(function * () {
   for (let checks = 0; ; checks++) {
-    if (checks % (HEARTBEAT_INTERVAL_MS / ECHO_CHECK_INTERVAL_MS) === 0) sendHeartbeat(context, link)
+    if (checks % ECHO_CHECKS_PER_HEARTBEAT === 0) sendHeartbeat(context, link)
     const sleptFrom = context.clock()
-    yield * Effect.sleep(ECHO_CHECK_INTERVAL_MS)
+    const intervalMs = context.heartbeatIntervalMs(link.peer.vm.name)
+    const checkIntervalMs = intervalMs / ECHO_CHECKS_PER_HEARTBEAT
+    yield * Effect.sleep(checkIntervalMs)
     const now = context.clock()
     // After a pause of this process, echoes may be waiting in the socket, so the timeout is restarted to read them first.
-    if (now - sleptFrom > ECHO_CHECK_INTERVAL_MS + PAUSE_THRESHOLD_MS) link.heartbeats.restartEchoTimeout(now)
-    if (link.heartbeats.isEchoOverdue(now)) return yield * Effect.fail(linkFailure('no-echo'))
+    if (now - sleptFrom > checkIntervalMs + PAUSE_THRESHOLD_MS) link.heartbeats.restartEchoTimeout(now)
+    if (link.heartbeats.isEchoOverdue(intervalMs, now)) return yield * Effect.fail(linkFailure('no-echo'))
   }
 })
 
--- a/src/peer/mesh.ts
+++ b/src/peer/mesh.ts
@@ -5,7 +5,7 @@
 import { WebSocket, WebSocketServer } from 'ws'
 import type { Log } from '../log/index.js'
 import type { Clock, Endpoint, Mesh, Peer, VM } from '../model/index.js'
-import { DIAL_CHECK_INTERVAL_MS, FRAME_LIMIT_BYTES, HANDSHAKE_TIMEOUT_MS, MAX_PENDING_HANDSHAKES, UNWANTED_LINK_TIMEOUT_MS } from './constants.js'
+import { DIAL_CHECK_INTERVAL_MS, FRAME_LIMIT_BYTES, HANDSHAKE_TIMEOUT_MS, HEARTBEAT_INTERVAL_MS, MAX_PENDING_HANDSHAKES, UNWANTED_LINK_TIMEOUT_MS } from './constants.js'
 import { createDialler } from './dialler.js'
 import { createDispatcher, type Attachment } from './dispatcher.js'
 import { linkFailure } from './failure.js'
@@ -50,7 +50,7 @@
   readonly incarnation: string
   /** The shared key of the fleet. */
   readonly key: Uint8Array
-  /** Returns the VMs to keep links to. Called every 250 ms. */
+  /** Returns the VMs to keep links to. Called every 250 ms, or less often with `linkedCheckIntervalMs`. */
   readonly wanted: () => readonly VM[]
   readonly log: Log
   readonly clock: Clock
@@ -58,6 +58,10 @@
   readonly isCurrent?: (peer: Peer) => boolean
   /** Time without a link after which the VM with the higher name dials, in ms. Default: 2000, which suits meshes where both VMs want the link. */
   readonly secondDialDelayMs?: number
+  /** Interval between heartbeats to a peer, in ms. Default: 500. */
+  readonly heartbeatIntervalMs?: (peer: string) => number
+  /** Interval between calls of `wanted` while there are links to all wanted VMs, in ms. Default: 250. */
+  readonly linkedCheckIntervalMs?: number
   /** Returns numbers from 0 to below 1, for jitter. Default: `Math.random`. */
   readonly random?: () => number
 }
@@ -98,6 +102,7 @@
     log,
     dispatcher,
     isCurrent: options.isCurrent ?? (() => true),
+    heartbeatIntervalMs: options.heartbeatIntervalMs ?? (() => HEARTBEAT_INTERVAL_MS),
     opened: link => {
       links.add(link)
       for (const observer of observers) observer.opened?.(peerOf(link), link.peer.vm)
@@ -168,7 +173,8 @@
       const wanted = options.wanted()
       for (const vm of dialler.due(wanted, name => links.current(name) !== undefined, now)) dial(vm)
       closeUnwanted(new Set(wanted.map(vm => vm.name)), now)
-      yield * Effect.sleep(DIAL_CHECK_INTERVAL_MS)
+      const isLinked = wanted.length > 0 && wanted.every(({ name }) => links.current(name) !== undefined)
+      yield * Effect.sleep(isLinked ? options.linkedCheckIntervalMs ?? DIAL_CHECK_INTERVAL_MS : DIAL_CHECK_INTERVAL_MS)
     }
   })
 
--- a/src/roster/roster.ts
+++ b/src/roster/roster.ts
@@ -83,7 +83,7 @@
     const entry = linked.get(from.vm)
     if (entry === undefined) return
     if (entry.status?.phase !== status.phase) options.log.info('vm.phase', { peer: from.vm, phase: status.phase })
-    const vm = { ...entry.vm, cores: status.cores }
+    const vm = entry.vm.cores === status.cores ? entry.vm : { ...entry.vm, cores: status.cores }
     known.set(vm.name, vm)
     linked.set(from.vm, { vm, status, receivedAt: now })
     options.onStatus(from, status, now)
--- a/src/roster/serving-vms.ts
+++ b/src/roster/serving-vms.ts
@@ -30,9 +30,15 @@
   readonly expectedCores: number
 }
 
+const hashes = new WeakMap<VM, number>()
+
 /** Position of a VM among those of equal capacity. Does not depend on the other VMs, so a VM that leaves changes no other position. */
 function hashOf (vm: VM): number {
-  return hashText(`serving\n${vm.name}`)
+  const known = hashes.get(vm)
+  if (known !== undefined) return known
+  const hash = hashText(`serving\n${vm.name}`)
+  hashes.set(vm, hash)
+  return hash
 }
 
 /** Processor capacity of a VM, in cores. */
--- a/tests/support/network.ts
+++ b/tests/support/network.ts
@@ -110,7 +110,7 @@
     if (!end.isOpen || !end.process.isAlive) return
     const now = schedule.now()
     if (now - plannedAt > 1000) end.heartbeats.restartEchoTimeout(now)
-    if (end.heartbeats.isEchoOverdue(now)) return close(end)
+    if (end.heartbeats.isEchoOverdue(HEARTBEAT_MS, now)) return close(end)
     if (checks % (HEARTBEAT_MS / CHECK_MS) === 0) sendHeartbeat(end)
     const nextAt = now + CHECK_MS
     schedule.at(nextAt, () => whenRunning(end.process, () => runHeartbeats(end, checks + 1, nextAt)))
