--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -135,7 +135,7 @@
     wanted: () => roster.linksWanted(clock()),
     secondDialDelayMs: SECOND_DIAL_DELAY_MS,
     linkedCheckIntervalMs: LINKED_CHECK_INTERVAL_MS,
-    heartbeatIntervalMs: peer => servingVMs.count(clock()).isServing && servingVMs.all(clock()).includes(peer) ? SERVING_HEARTBEAT_INTERVAL_MS : IDLE_HEARTBEAT_INTERVAL_MS,
+    heartbeatIntervalMs: peer => wasServing && servingVMs.all(clock()).includes(peer) ? SERVING_HEARTBEAT_INTERVAL_MS : IDLE_HEARTBEAT_INTERVAL_MS,
     log,
     clock
   })
@@ -244,6 +244,7 @@
     quarantine.sweep(now)
     if (readySince === undefined && catalog.ruleset() !== undefined && catalog.upTo('listings') > 0) {
       readySince = now
+      servingVMs.invalidate()
       log.info('vm.ready', { ruleset: catalog.ruleset()?.version, targets: catalog.listings().length })
       roster.announce(now)
     }
--- a/src/edge/serving-view.ts
+++ b/src/edge/serving-view.ts
@@ -13,11 +13,12 @@
   readonly remote: (now: number) => readonly string[]
   /** Whether this VM is one of them, and how many there are at least, with those that are selected and not ready yet. */
   readonly count: (now: number) => ServingCount
+  /** Has the view computed anew when it is read next. */
+  readonly invalidate: () => void
 }
 
-/** Minimum times between recomputations, in ms; the view is read for every request. A VM that does not serve gets few, and has to notice that it does. */
+/** Minimum time between recomputations; the view is read for every request. */
 const REFRESH_INTERVAL_MS = 100
-const IDLE_REFRESH_INTERVAL_MS = 10
 
 /** Creates the view of the VM named `self`. */
 export function createServingView (roster: Roster, self: string): ServingView {
@@ -27,7 +28,7 @@
   let all: readonly string[] = []
   let count: ServingCount = { isServing: false, vms: 1 }
   const refresh = (now: number): void => {
-    if (now - computedAt < (count.isServing ? REFRESH_INTERVAL_MS : IDLE_REFRESH_INTERVAL_MS)) return
+    if (now - computedAt < REFRESH_INTERVAL_MS) return
     computedAt = now
     nearest = roster.serving(now).map(({ name }) => name)
     remote = roster.servingInOtherZones(now).map(({ name }) => name)
@@ -54,7 +55,8 @@
     count: now => {
       refresh(now)
       return count
-    }
+    },
+    invalidate: () => { computedAt = -Infinity }
   }
 }
 
