Let the first VMs of a zone read the catalog and the list of VMs for the others

At its start each VM read both sections of the catalog and then polled both until it had links, and every VM read the list of VMs again every 20 s.

The first three VMs of a zone on the list read at once; the others get the catalog from them, or read it after 0.7 s and 50 ms for each rank. Two live VMs of a zone read the list again and tell the others what is new. Changes of entries are read every 200 ms instead of 40: entries of targets that warm up change with each heartbeat.

--- a/src/edge/joining.ts
+++ b/src/edge/joining.ts
@@ -2,8 +2,8 @@
 import { get } from 'node:http'
 import { Effect, Schema } from 'effect'
 import type { Log } from '../log/index.js'
-import type { Endpoint, VM } from '../model/index.js'
-import type { Roster } from '../roster/index.js'
+import type { Endpoint, Mesh, VM } from '../model/index.js'
+import { listedVMsChannel, MAX_LISTED_VMS, packListedVM, unpackListedVM, type Roster } from '../roster/index.js'
 import type { Store } from '../store/index.js'
 
 /** Admin endpoint path that lists the known VMs. */
@@ -13,6 +13,10 @@
 const MAX_BACKOFF_MS = 3000
 /** Interval between reads of the list. New VMs dial the others when they join, so this only covers VMs that were missed. */
 const REFRESH_INTERVAL_MS = 20_000
+/** Live VMs of a zone that read the list again; the others are told what they find. */
+const REFRESHING_VMS = 2
+/** Number of intervals after which every VM reads the list again, in case it was not told. */
+const FULL_REFRESH_INTERVALS = 6
 const SEED_TIMEOUT_MS = 800
 
 const EndpointSchema = Schema.Struct({ address: Schema.String, port: Schema.Int })
@@ -55,33 +59,51 @@
   readonly seeds: () => readonly Endpoint[]
   readonly store: Store
   readonly roster: Roster
+  readonly mesh: Mesh
   readonly log: Log
 }
 
 /** Registers this VM in the store and keeps the roster up to date with the other VMs; runs until interrupted. */
-export function join ({ self, seeds, store, roster, log }: JoiningOptions): Effect.Effect<never> {
+export function join ({ self, seeds, store, roster, mesh, log }: JoiningOptions): Effect.Effect<never> {
+  mesh.subscribe(listedVMsChannel, (_from, packed) => { roster.add(packed.map(unpackListedVM)) })
+
+  const tellZone = (vms: readonly VM[]): void => {
+    const peers = roster.linked().filter(({ vm }) => vm.place === self.place)
+    for (let start = 0; start < vms.length; start += MAX_LISTED_VMS) {
+      const packed = vms.slice(start, start + MAX_LISTED_VMS).map(packListedVM)
+      for (const { vm } of peers) mesh.send(vm.name, listedVMsChannel, packed)
+    }
+  }
+
   const discoverFromSeeds = Effect.suspend(() => Effect.forEach(seeds(), seed => fetchVMsFromSeed(seed).pipe(
     Effect.match({
-      onSuccess: vms => roster.add(vms),
+      onSuccess: vms => { roster.add(vms) },
       onFailure: detail => log.info('seed.unavailable', { address: seed.address, detail })
     })), { concurrency: 'unbounded', discard: true }))
 
   const registerWithRetry = Effect.gen(function * () {
     for (let backoffMs = INITIAL_BACKOFF_MS; ; backoffMs = Math.min(MAX_BACKOFF_MS, 2 * backoffMs)) {
       const result = yield * Effect.result(store.register(self).pipe(Effect.andThen(store.listVMs())))
-      if (result._tag === 'Success') return roster.add(result.success)
+      if (result._tag === 'Success') {
+        roster.add(result.success)
+        return
+      }
       log.warn('vm-list.unavailable', { detail: result.failure.detail })
       yield * discoverFromSeeds
       yield * Effect.sleep(backoffMs)
     }
   })
 
-  const refresh = Effect.sleep(REFRESH_INTERVAL_MS).pipe(
-    Effect.andThen(store.listVMs()),
-    Effect.match({
-      onSuccess: vms => roster.add(vms),
-      onFailure: ({ detail }) => log.info('vm-list.unavailable', { detail })
-    }))
+  const readAgain = store.listVMs().pipe(Effect.match({
+    onSuccess: vms => tellZone(roster.add(vms)),
+    onFailure: ({ detail }) => log.info('vm-list.unavailable', { detail })
+  }))
+  let intervals = 0
+  const refresh = Effect.sleep(REFRESH_INTERVAL_MS).pipe(Effect.andThen(Effect.suspend(() => {
+    intervals++
+    const isDue = roster.rank() < REFRESHING_VMS || intervals % FULL_REFRESH_INTERVALS === 0
+    return isDue ? readAgain : Effect.void
+  })))
 
   return registerWithRetry.pipe(Effect.andThen(Effect.forever(refresh)))
 }
--- a/src/following/catalog-sync.ts
+++ b/src/following/catalog-sync.ts
@@ -7,19 +7,21 @@
 import type { Roster, Status } from '../roster/index.js'
 import type { Store, StoreFailure } from '../store/index.js'
 import { batchChannel, snapshotRequestChannel } from './messages.js'
-import { isReader, takeoverMs, TAKEOVER_MS } from './reader-election.js'
+import { isReader, readsFirstCatalog, takeoverMs, TAKEOVER_MS } from './reader-election.js'
 
 /** Period in which the long polls for changes end, in ms. With `LONG_POLL_MIN_MS` shorter than `TAKEOVER_MS`, within which a confirmation is due. */
 const LONG_POLL_MS = 1000
 /** A long poll that would end sooner waits for the next period too, in ms. */
 const LONG_POLL_MIN_MS = 100
-/** Pause after a batch of changes, in ms, so that changes in quick succession arrive with one call. */
-const COALESCING_MS = 40
+/** Pause after a batch of changes, in ms, so that changes in quick succession arrive with one call. Entries of targets that warm up change with each of their heartbeats. */
+const COALESCING_MS: Readonly<Record<Section, number>> = { rulesets: 40, listings: 200 }
 /** Time without any confirmation that indicates an outage of the store, in ms: every VM has tried to read it by then. */
 const OUTAGE_MS = 2100
 /** Bounds on the interval at which a VM that does not read evaluates the reader election, in ms; it can only change when a confirmation is overdue. */
 const ELECTION_INTERVAL_MIN_MS = 100
 const ELECTION_INTERVAL_MAX_MS = 1000
+/** The same while the VM has no catalog, in ms. */
+const FIRST_CATALOG_INTERVAL_MS = 50
 /** Delay before the status is announced after a response of the store, in ms, so that responses for both sections are announced together. */
 const ANNOUNCEMENT_DELAY_MS = 10
 /** Shortest time between two snapshot requests for a section, in ms. */
@@ -158,14 +160,17 @@
     const read = state.needsSnapshot ? store.read(section) : store.changes(section, catalog.upTo(section), state.isImmediate ? 0 : longPollMs(clock()))
     return read.pipe(
       Effect.tap(batch => Effect.sync(() => applyBatch(state, batch))),
-      Effect.flatMap(batch => batch.changes.length > 0 && batch.after !== undefined ? Effect.sleep(COALESCING_MS) : Effect.void),
+      Effect.flatMap(batch => batch.changes.length > 0 && batch.after !== undefined ? Effect.sleep(COALESCING_MS[section]) : Effect.void),
       Effect.catch(failure => handleFailure(state, failure)))
   }
 
+  const createdAt = clock()
+
   const updateRole = (state: SectionState): boolean => {
     const now = clock()
     const rank = options.roster().rank()
-    const shouldRead = isReader({
+    const mayRead = catalog.upTo(state.section) > 0 || readsFirstCatalog(options.roster().listedRank(), now - createdAt)
+    const shouldRead = mayRead && isReader({
       rank,
       confirmedAgeMs: now - confirmedAt[state.section],
       isReading: state.isReading,
@@ -182,6 +187,7 @@
   }
 
   const electionIntervalMs = ({ section }: SectionState, now: number): number => {
+    if (catalog.upTo(section) === 0) return FIRST_CATALOG_INTERVAL_MS
     const overdueInMs = takeoverMs(options.roster().rank()) - (now - confirmedAt[section])
     return Math.min(ELECTION_INTERVAL_MAX_MS, Math.max(ELECTION_INTERVAL_MIN_MS, overdueInMs))
   }
--- a/src/following/reader-election.ts
+++ b/src/following/reader-election.ts
@@ -30,6 +30,32 @@
   return TAKEOVER_MS + RANK_DELAY_MS * Math.min(rank, MAX_DELAY_RANK)
 }
 
+/** VMs of a zone that read the store as soon as they have the list of VMs. The others get the catalog from them. */
+const FIRST_READERS = 3
+
+/** Time for a VM to get its first catalog from a peer, in ms, and for each rank in addition. */
+const FIRST_CATALOG_MS = 700
+const FIRST_CATALOG_RANK_MS = 50
+const MAX_FIRST_CATALOG_RANK = 20
+
+/** Time without a list of VMs after which a starting VM reads the catalog without knowing its rank, in ms. */
+const LIST_TIMEOUT_MS = 400
+
+/**
+ * Whether a VM that has no catalog yet reads it from the store. All VMs of a fleet may start together, so only the
+ * first of each zone read at once; the others read when no peer has sent them the catalog in time.
+ *
+ * @param listedRank position among all VMs of the zone on the list; undefined without a list
+ *
+ * @example
+ * readsFirstCatalog(12, 300) // false
+ */
+export function readsFirstCatalog (listedRank: number | undefined, uptimeMs: number): boolean {
+  if (listedRank === undefined) return uptimeMs >= LIST_TIMEOUT_MS
+  if (listedRank < FIRST_READERS) return true
+  return uptimeMs >= FIRST_CATALOG_MS + FIRST_CATALOG_RANK_MS * Math.min(listedRank, MAX_FIRST_CATALOG_RANK)
+}
+
 /**
  * Whether this VM reads the store. The first live VM of a zone always does. Another one starts when its
  * catalog is no longer confirmed, and stops when a VM of lower rank has contact with the store.
--- a/src/roster/messages.ts
+++ b/src/roster/messages.ts
@@ -1,6 +1,29 @@
-/** Status messages between VMs. */
-import type { Channel } from '../model/index.js'
-import { integer, nullable, tuple, type Checked } from '../peer/index.js'
+/** Messages between VMs about themselves and others. */
+import type { Channel, VM } from '../model/index.js'
+import { checkVM, integer, list, nullable, packVM, tuple, unpackVM, type Checked } from '../peer/index.js'
+
+const MILLICORES_PER_CORE = 1000
+/** Number of VMs in one message; a frame holds more. */
+export const MAX_LISTED_VMS = 500
+
+const checkListedVM = tuple(checkVM, nullable(integer()))
+
+/** A VM and its capacity in thousandths of a core, if it is known. */
+export type PackedListedVM = Checked<typeof checkListedVM>
+
+/** VMs on the list in the store that the receiver may not know. */
+export const listedVMsChannel: Channel<readonly PackedListedVM[]> = { kind: 'vms', parse: list(checkListedVM, MAX_LISTED_VMS) }
+
+/** Encodes a VM as a tuple. */
+export function packListedVM (vm: VM): PackedListedVM {
+  return [packVM(vm), vm.cores === undefined ? null : Math.round(vm.cores * MILLICORES_PER_CORE)]
+}
+
+/** Decodes the result of `packListedVM`. */
+export function unpackListedVM ([packed, millicores]: PackedListedVM): VM {
+  const vm = unpackVM(packed)
+  return millicores === null ? vm : { ...vm, cores: millicores / MILLICORES_PER_CORE }
+}
 
 /** Lifecycle phase of a VM: it has no configuration yet, it serves, or it is about to stop. */
 export type LifecyclePhase = 'starting' | 'ready' | 'leaving'
@@ -23,8 +46,6 @@
   readonly usedCores: number
 }
 
-const MILLICORES_PER_CORE = 1000
-
 const checkStatus = tuple(integer(0, PHASES.length - 1), nullable(integer()), integer(), integer(), integer(), integer(), integer())
 
 /** A status as a tuple: index of the phase, `storeAgeMs`, `rulesetsUpTo`, `listingsUpTo`, `readyMs`, `cores` and `usedCores`. Cores are sent in thousandths. */
--- a/src/roster/roster.ts
+++ b/src/roster/roster.ts
@@ -19,8 +19,8 @@
 
 /** The VMs of the fleet. */
 export interface Roster {
-  /** Adds VMs that the store or a peer listed; of those already known, only a missing capacity is taken. */
-  readonly add: (vms: readonly VM[]) => void
+  /** Adds VMs that the store or a peer listed; of those already known, only a missing capacity is taken. Returns those that were not known. */
+  readonly add: (vms: readonly VM[]) => readonly VM[]
   readonly known: () => readonly VM[]
   readonly linked: () => readonly LinkedVM[]
   /** VMs to keep links to: the serving ones of this VM's zone and the next in rank, and those of the other zones too if this VM is selected to serve. */
@@ -36,6 +36,8 @@
   readonly servingInOtherZones: (now: number) => readonly VM[]
   /** Position of this VM among the live VMs of its zone; 0 is the first. */
   readonly rank: () => number
+  /** Position of this VM among all VMs of its zone on the list, with those that are gone; undefined before there is a list. */
+  readonly listedRank: () => number | undefined
   /** Whether a VM ranks before this one. */
   readonly precedes: (vm: VM) => boolean
   /** Sends the status of this VM to all linked VMs. */
@@ -74,6 +76,7 @@
   const known = new Map<string, VM>([[self.name, self]])
   const linked = new Map<string, LinkedVM>()
   const createdAt = clock()
+  let isListed = false
   const reachability = createReachability()
   const demands = new Map<Place, ZoneDemand>()
   /** Names of the VMs that were last selected to serve each zone. */
@@ -114,6 +117,7 @@
     }
   })
 
+  const isInZone = ({ place }: VM): boolean => place === self.place
   const isAlive = (place: Place) => ({ vm, status }: LinkedVM): boolean => vm.place === place && status?.phase !== 'leaving'
 
   const ownCandidate = (now: number): RosterCandidate => {
@@ -183,7 +187,12 @@
 
   return {
     // A known VM gets only the capacity from the list, which may be older than the link to it.
-    add: vms => { for (const vm of vms) known.set(vm.name, { ...vm, ...known.get(vm.name) }) },
+    add: vms => {
+      isListed = true
+      const added = vms.filter(({ name }) => !known.has(name))
+      for (const vm of vms) known.set(vm.name, { ...vm, ...known.get(vm.name) })
+      return added
+    },
     known: () => [...known.values()],
     linked: () => [...linked.values()],
     linksWanted,
@@ -196,6 +205,7 @@
       const alive = [...linked.values()].filter(isAlive(self.place)).map(({ vm }) => vm)
       return sortByRank([self, ...alive]).findIndex(({ name }) => name === self.name)
     },
+    listedRank: () => isListed ? sortByRank([...known.values()].filter(isInZone)).findIndex(({ name }) => name === self.name) : undefined,
     precedes: vm => sortByRank([vm, self])[0] === vm,
     announce
   }
