Buffer uploads before they take a slot of a target

A body above 64 KB was streamed while its request held a slot, so a caller that sent slowly kept a slot of a target busy, and a request that a target had shed was refused although another target had room. Bodies up to 512 KB are buffered first, within 24 MB for all requests of a VM; beyond that they are streamed as before. A completely buffered body can be sent to another target when it did not run.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -24,6 +24,8 @@
 const METRICS_PATH = '/metrics'
 /** Responses up to this size are buffered before they are forwarded; larger ones are streamed. */
 const RESPONSE_BUFFER_BYTES = 64 * 1024
+/** Longest request body that is buffered before the request takes a slot of a target, and the memory for all of them, a tenth of the smallest machines. */
+const BODY_MEMORY = { perRequest: 512 * 1024, total: 24 * 1024 * 1024 }
 /** If a connection to a target is not established within this time, another target is tried. */
 const CONNECT_TIMEOUT_MS = 300
 /** Connections that were idle for longer are not reused, because the peer may have dropped them silently. */
@@ -197,6 +199,7 @@
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     maxReuseIdleMs: MAX_REUSE_IDLE_MS,
     responseBufferBytes: RESPONSE_BUFFER_BYTES,
+    bodyMemory: BODY_MEMORY,
     isDeadlineForBody: true,
     dialect,
     log,
--- a/src/entry/body.ts
+++ b/src/entry/body.ts
@@ -1,19 +1,20 @@
 /**
- * The body of a caller's request: a prefix is buffered before the request
- * is forwarded, and the rest is streamed with backpressure.
+ * The body of a caller's request: its start, or the whole body if there is memory for it, is buffered before
+ * the request is forwarded, and the rest is streamed with backpressure.
  */
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import { Effect } from 'effect'
 import { refusal, type Refusal } from '../errors/index.js'
+import type { BodyMemory } from './body-memory.js'
 import { BODY_PREFIX_BYTES } from './fingerprint.js'
 import { trailerPairs } from './headers.js'
 
 /** A request body that is forwarded to a target. */
 export interface Body {
-  /** Buffers the first 64 KB, or the whole body when it is shorter; stops after `timeoutMs`. */
+  /** Buffers the first 64 KB, and what follows while there is memory for it; stops after `timeoutMs`. */
   readonly readPrefix: (timeoutMs: number) => Effect.Effect<void>
   readonly prefix: () => readonly Uint8Array[]
-  /** Whether the body can be sent again: it is empty, or it is buffered completely and has at most 64 KB. */
+  /** Whether the body can be sent again: it is empty or buffered completely. */
   readonly isReplayable: () => boolean
   /** Whether the caller has not sent the whole body yet. */
   readonly isStreaming: () => boolean
@@ -21,6 +22,8 @@
   readonly sendTo: (outgoing: ClientRequest) => void
   /** Stops streaming, for example because the target's connection ended. */
   readonly detach: () => void
+  /** Releases the memory of the body when the request has ended. */
+  readonly release: () => void
 }
 
 /**
@@ -32,10 +35,12 @@
   incoming: IncomingMessage,
   hasBody: boolean,
   maxBytes: number,
+  memory: BodyMemory,
   onTooLarge: (refused: Refusal) => void
 ): Body {
   let chunks: Buffer[] = []
   let receivedBytes = 0
+  let reservedBytes = 0
   let isComplete = !hasBody
   let wasForwarded = false
   let detach = (): void => {}
@@ -48,6 +53,19 @@
     }
   }
 
+  /** Whether the chunk that was received last can stay in memory, with more to follow. */
+  const hasMemoryFor = (chunk: Buffer): boolean => {
+    if (receivedBytes <= BODY_PREFIX_BYTES) return true
+    if (receivedBytes > memory.perRequest || !memory.reserve(chunk.byteLength)) return false
+    reservedBytes += chunk.byteLength
+    return true
+  }
+
+  const release = (): void => {
+    memory.release(reservedBytes)
+    reservedBytes = 0
+  }
+
   const readPrefix = (timeoutMs: number): Effect.Effect<void> => Effect.callback(resume => {
     if (isComplete) return resume(Effect.void)
     const stop = (): void => {
@@ -58,8 +76,7 @@
     const onData = (chunk: Buffer): void => {
       countBytes(chunk)
       chunks.push(chunk)
-      // A single byte beyond the prefix shows that the body is too large to be replayed in a retry.
-      if (receivedBytes <= BODY_PREFIX_BYTES) return
+      if (hasMemoryFor(chunk)) return
       stop()
       resume(Effect.void)
     }
@@ -77,7 +94,7 @@
     return Effect.sync(stop)
   })
 
-  const isReplayable = (): boolean => isComplete && !wasForwarded && receivedBytes <= BODY_PREFIX_BYTES
+  const isReplayable = (): boolean => isComplete && !wasForwarded
 
   const finishRequest = (outgoing: ClientRequest): void => {
     const trailers = trailerPairs(incoming.rawTrailers)
@@ -93,6 +110,7 @@
     wasForwarded = true
     for (const chunk of chunks) outgoing.write(chunk)
     chunks = []
+    release()
     const finish = (): void => {
       isComplete = true
       finishRequest(outgoing)
@@ -111,6 +129,7 @@
     isReplayable,
     isStreaming: () => !isComplete,
     sendTo,
-    detach: () => detach()
+    detach: () => detach(),
+    release
   }
 }
--- a/src/entry/connection.ts
+++ b/src/entry/connection.ts
@@ -3,6 +3,7 @@
 import { Cause, Effect, Exit, Fiber, Queue } from 'effect'
 import { refusal, type ErrorKind, type Refusal } from '../errors/index.js'
 import { sendRefusal } from './respond.js'
+import type { BodyMemory } from './body-memory.js'
 import type { Dialect } from './dialect.js'
 import type { Exchange } from './exchange.js'
 import { handleRequest, type HandlerContext } from './request-handler.js'
@@ -164,12 +165,13 @@
   readonly options: EntryOptions
   readonly dialect: Dialect
   readonly pools: Pools
+  readonly bodyMemory: BodyMemory
   readonly isStopping: () => boolean
 }
 
 /** Creates the connection and starts its fiber, which is interrupted when the connection closes. */
 export function createCallerConnection (shared: ConnectionContext, socket: Socket, onClose: () => void): CallerConnection {
-  const { options, dialect, pools, isStopping } = shared
+  const { options, dialect, pools, bodyMemory, isStopping } = shared
   const { limits, clock } = options
   const queue = Effect.runSync(Queue.unbounded<Exchange>())
   const idle = createIdleMonitor(socket, limits, clock())
@@ -181,7 +183,7 @@
   const active = new Map<Exchange, Progress>()
   // Pipelined requests that have arrived are served too, so only the last response closes the connection.
   const isClosing = (exchange: Exchange): boolean => isStopping() && exchange === lastExchange
-  const context: HandlerContext = { options, dialect, pools, closePolicy: { isClosing } }
+  const context: HandlerContext = { options, dialect, pools, closePolicy: { isClosing }, bodyMemory }
   let bytesAtLastCheck = -1
 
   const refuse = (refused: Refusal): void => {
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -9,6 +9,7 @@
 import { nativeDialect } from './native-dialect.js'
 import { isDisconnectError, isIgnorableParseError, refuseParseError } from './framing.js'
 import type { EntryOptions } from './options.js'
+import { createBodyMemory, NO_BODY_MEMORY } from './body-memory.js'
 import { createPools } from './pool.js'
 import { sendRawRefusal } from './raw-refusal.js'
 
@@ -77,11 +78,12 @@
   const { limits, clock, log, dialect = nativeDialect } = options
   const connections = new Map<Socket, CallerConnection>()
   const pools = createPools(options)
+  const bodyMemory = createBodyMemory(options.bodyMemory ?? NO_BODY_MEMORY)
   let isStopping = false
   let acceptedCount = 0
   let checkLoop: Fiber.Fiber<unknown> | undefined
 
-  const context = { options, dialect, pools, isStopping: () => isStopping }
+  const context = { options, dialect, pools, bodyMemory, isStopping: () => isStopping }
 
   // The HTTP server gets its connections from the TCP listener below, because its own `close`
   // would destroy idle connections whose next request has already arrived.
--- a/src/entry/options.ts
+++ b/src/entry/options.ts
@@ -3,6 +3,7 @@
 import type { ErrorKind, Refusal, RunState } from '../errors/index.js'
 import type { Log } from '../log/index.js'
 import type { Admission, Claims, Clock, ResolvedRoute } from '../model/index.js'
+import type { BodyMemoryLimits } from './body-memory.js'
 import type { Dialect } from './dialect.js'
 
 /** Idle time in ms after which a target may close a connection at the moment a request is sent on it. */
@@ -93,6 +94,8 @@
   readonly maxReuseIdleMs?: number
   /** Bytes of a response body that are buffered before the response is relayed. Default: 0. */
   readonly responseBufferBytes?: number
+  /** Bodies that are buffered completely before their request takes a slot of a target. Default: the first 64 KB of each body are buffered. */
+  readonly bodyMemory?: BodyMemoryLimits
   /** Whether a response that is not complete at the deadline is cut off. Default: no, so that only `requestLimitMs` ends it. */
   readonly isDeadlineForBody?: boolean
   readonly log: Log
--- a/src/entry/request-handler.ts
+++ b/src/entry/request-handler.ts
@@ -8,6 +8,7 @@
 import { ADDRESSES_PATH } from '../routing/index.js'
 import { relayResponse, sendJson, sendReplay, type ClosePolicy } from './respond.js'
 import type { AttemptOutcome } from './attempt.js'
+import type { BodyMemory } from './body-memory.js'
 import { createBody } from './body.js'
 import { checkTimeLeft, createChecks, REPLAY, type PreSendChecks, type RoutedRequest } from './pre-send-checks.js'
 import type { Dialect } from './dialect.js'
@@ -27,6 +28,7 @@
   readonly dialect: Dialect
   readonly pools: Pools
   readonly closePolicy: ClosePolicy
+  readonly bodyMemory: BodyMemory
 }
 
 function fromResult<A> (result: Outcome<A, Refusal>): Effect.Effect<A, Refusal> {
@@ -144,6 +146,6 @@
     yield * failIf(options.checkServing(route.service.name, options.clock()))
     const deadlineAt = exchange.arrivedAt + Math.min(route.class.deadlineMs, request.deadlineMs ?? Infinity)
     yield * checkTimeLeft(options, route, deadlineAt)
-    const body = createBody(exchange.incoming, request.hasBody, bodyBytes, refused => exchange.abort(refused, 'caller'))
-    return yield * forwardRouted(context, { exchange, request, route, body, deadlineAt })
+    const body = createBody(exchange.incoming, request.hasBody, bodyBytes, context.bodyMemory, refused => exchange.abort(refused, 'caller'))
+    return yield * forwardRouted(context, { exchange, request, route, body, deadlineAt }).pipe(Effect.ensuring(Effect.sync(body.release)))
   })
