--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -1,7 +1,7 @@
 import { Command, Option } from 'clipanion'
 import { Effect, Result } from 'effect'
 import { checkEnvironment, startDaemon, type Daemon } from '../daemon/index.js'
-import { createLog, type Log } from '../log/index.js'
+import { createLog, logDefects, type Log } from '../log/index.js'
 import { EXIT_CODE } from './exit-codes.js'
 import { readSettingsFile } from './settings-check.js'
 
@@ -14,12 +14,6 @@
   })
 }
 
-/** Logs uncaught errors instead of exiting, so that they do not abort the requests in flight. */
-function logDefects (log: Log): void {
-  process.on('uncaughtException', error => log.error('process.defect', { detail: error.stack ?? error.message }))
-  process.on('unhandledRejection', reason => log.error('process.defect', { detail: String(reason) }))
-}
-
 async function runUntilSignal (daemon: Daemon, log: Log): Promise<number> {
   const signal = await waitForStopSignal()
   log.info('vm.signal', { signal })
