--- a/src/edge/joining.ts
+++ b/src/edge/joining.ts
@@ -18,6 +18,8 @@
 /** Number of intervals after which every VM reads the list again, in case it was not told. */
 const FULL_REFRESH_INTERVALS = 6
 const SEED_TIMEOUT_MS = 800
+/** Time without an answer of the store after which the seeds are asked, in ms; the store may still be busy with the registrations of other VMs. */
+const SEED_DELAY_MS = 700
 
 const EndpointSchema = Schema.Struct({ address: Schema.String, port: Schema.Int })
 const VMListSchema = Schema.Array(Schema.Struct({
@@ -81,9 +83,11 @@
       onFailure: detail => log.info('seed.unavailable', { address: seed.address, detail })
     })), { concurrency: 'unbounded', discard: true }))
 
+  const askSeedsMeanwhile = Effect.sleep(SEED_DELAY_MS).pipe(Effect.andThen(discoverFromSeeds), Effect.andThen(Effect.never))
+
   const registerWithRetry = Effect.gen(function * () {
     for (let backoffMs = INITIAL_BACKOFF_MS; ; backoffMs = Math.min(MAX_BACKOFF_MS, 2 * backoffMs)) {
-      const result = yield * Effect.result(store.register(self).pipe(Effect.andThen(store.listVMs())))
+      const result = yield * Effect.result(Effect.raceFirst(store.register(self).pipe(Effect.andThen(store.listVMs())), askSeedsMeanwhile))
       if (result._tag === 'Success') {
         roster.add(result.success)
         return
--- a/src/following/reader-election.ts
+++ b/src/following/reader-election.ts
@@ -34,12 +34,12 @@
 const FIRST_READERS = 3
 
 /** Time for a VM to get its first catalog from a peer, in ms, and for each rank in addition. */
-const FIRST_CATALOG_MS = 700
+const FIRST_CATALOG_MS = 2000
 const FIRST_CATALOG_RANK_MS = 50
 const MAX_FIRST_CATALOG_RANK = 20
 
 /** Time without a list of VMs after which a starting VM reads the catalog without knowing its rank, in ms. */
-const LIST_TIMEOUT_MS = 400
+const LIST_TIMEOUT_MS = 2500
 
 /**
  * Whether a VM that has no catalog yet reads it from the store. All VMs of a fleet may start together, so only the
