--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -119,6 +119,8 @@
   const { vm } = settings
   let readySince: number | undefined
   let isLeaving = false
+  /** Whether callers were directed to this VM at the last housekeeping. */
+  let wasServing = false
 
   const lagMonitor = createLagMonitor()
   const loadMeter = createLoadMeter(options.eventLoopTime ?? readEventLoopTime)
@@ -129,6 +131,7 @@
     const ruleset = catalog.ruleset()
     if (ruleset !== undefined) expected = expectedCores(ruleset, catalog.listings())
   })
+  const isServingLink = (peer: string): boolean => wasServing && servingVMs.all(clock()).includes(peer)
   const mesh = createMesh({
     self: vm,
     incarnation: createIncarnation(Date.now()),
@@ -137,7 +140,7 @@
     wanted: () => roster.linksWanted(clock()),
     secondDialDelayMs: SECOND_DIAL_DELAY_MS,
     linkedCheckIntervalMs: LINKED_CHECK_INTERVAL_MS,
-    heartbeatIntervalMs: peer => wasServing && servingVMs.all(clock()).includes(peer) ? SERVING_HEARTBEAT_INTERVAL_MS : IDLE_HEARTBEAT_INTERVAL_MS,
+    heartbeatIntervalMs: peer => isServingLink(peer) ? SERVING_HEARTBEAT_INTERVAL_MS : IDLE_HEARTBEAT_INTERVAL_MS,
     log,
     clock
   })
@@ -219,7 +222,6 @@
     return NOT_FOUND
   }
 
-  let wasServing = false
   /** Logs when callers are directed to this VM, and when they no longer are. */
   const logServing = (now: number): void => {
     const isServing = roster.isServing(now)
