--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -164,7 +164,7 @@
     log,
     clock
   })
-  const catalogSync: CatalogSync = createCatalogSync({ place: vm.place, store, catalog, mesh, roster: () => roster, random, log, clock })
+  const catalogSync: CatalogSync = createCatalogSync({ place: vm.place, isFirstStart: settings.isFirstStart ?? false, store, catalog, mesh, roster: () => roster, random, log, clock })
   const servingVMs = createServingView(roster, vm.name)
   const retryShare = createRetryShare(() => settings.retries.windowMs)
   const retryShareAt = (now: number): number => retryShare.at(servingVMs.count(now), now)
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -19,4 +19,6 @@
   readonly addressTtlMs: number
   /** Maximum time from the stop signal to the exit of the process. */
   readonly graceMs: number
+  /** Whether the whole fleet starts for the first time, so that no callers are waiting. Default: no. */
+  readonly isFirstStart?: boolean
 }
--- a/src/following/catalog-sync.ts
+++ b/src/following/catalog-sync.ts
@@ -52,6 +52,8 @@
 /** Dependencies of the synchronisation. */
 export interface CatalogSyncOptions {
   readonly place: Place
+  /** Whether all VMs start for the first time, before any caller: the first catalog then comes from a few readers. */
+  readonly isFirstStart: boolean
   readonly store: Store
   readonly catalog: Catalog
   readonly mesh: LinkMesh
@@ -169,7 +171,7 @@
   const updateRole = (state: SectionState): boolean => {
     const now = clock()
     const rank = options.roster().rank()
-    const mayRead = catalog.upTo(state.section) > 0 || readsFirstCatalog(options.roster().listedRank(), now - createdAt)
+    const mayRead = catalog.upTo(state.section) > 0 || !options.isFirstStart || readsFirstCatalog(options.roster().listedRank(), now - createdAt)
     const shouldRead = mayRead && isReader({
       rank,
       confirmedAgeMs: now - confirmedAt[state.section],
@@ -187,7 +189,7 @@
   }
 
   const electionIntervalMs = ({ section }: SectionState, now: number): number => {
-    if (catalog.upTo(section) === 0) return FIRST_CATALOG_INTERVAL_MS
+    if (catalog.upTo(section) === 0 && options.isFirstStart) return FIRST_CATALOG_INTERVAL_MS
     const overdueInMs = takeoverMs(options.roster().rank()) - (now - confirmedAt[section])
     return Math.min(ELECTION_INTERVAL_MAX_MS, Math.max(ELECTION_INTERVAL_MIN_MS, overdueInMs))
   }
--- a/src/following/reader-election.ts
+++ b/src/following/reader-election.ts
@@ -42,8 +42,9 @@
 const LIST_TIMEOUT_MS = 2500
 
 /**
- * Whether a VM that has no catalog yet reads it from the store. All VMs of a fleet may start together, so only the
- * first of each zone read at once; the others read when no peer has sent them the catalog in time.
+ * Whether a VM that has no catalog yet reads it from the store when the whole fleet starts for the first time. Only
+ * the first VMs of each zone read at once; the others read when no peer has sent them the catalog in time. After
+ * later starts callers may be waiting, so every VM reads at once.
  *
  * @param listedRank position among all VMs of the zone on the list; undefined without a list
  *
