--- a/review/4/script.mjs
+++ b/review/4/script.mjs
@@ -12,8 +12,8 @@
 import { answerWhole, startUpstream } from '../support/upstream.mjs'
 
 const ZONES = ['riga-a', 'riga-a', 'riga-b', 'riga-b', 'daugavpils', 'daugavpils']
-/** Three upstreams per zone, of which one leaves. */
-const UPSTREAMS = 9
+/** Eight upstreams per zone, of which one leaves; the limit of `scale_in` is a share of 0.13. */
+const UPSTREAMS = 24
 const LEAVING = 3
 const CALM_MS = 4000
 /** Time from the silence to the removal of the entries. */
