--- a/src/entry/connection.ts
+++ b/src/entry/connection.ts
@@ -10,6 +10,7 @@
 import { createMessageLines, framingOf } from './message-lines.js'
 import type { Ending, EntryOptions, Limits } from './options.js'
 import type { Pools } from './pool.js'
+import { createResponseOrder } from './response-order.js'
 import { sendRawRefusal } from './raw-refusal.js'
 
 /** A connection from a caller. */
@@ -84,12 +85,12 @@
 
 /** Serves one request; a failure becomes a refusal, or destroys the connection when a response was started. */
 function serve (context: HandlerContext, exchange: Exchange): Effect.Effect<void> {
-  const { options, dialect, closePolicy } = context
+  const { options, dialect, order } = context
   let finished: Finished = { ending: 'cancelled', refused: undefined }
   const refuse = (refused: Refusal): Effect.Effect<void> => Effect.suspend(() => {
     const refusalWithRun = withRunState(exchange, refused)
     finished = { ending: exchange.response.headersSent ? 'truncated' : 'refused', refused: refusalWithRun }
-    return sendRefusal(exchange, dialect, closePolicy, refusalWithRun)
+    return sendRefusal(exchange, dialect, order, refusalWithRun)
   })
   const onDefect = (defect: unknown): Effect.Effect<void> => {
     options.log.error('request.defect', { requestId: exchange.id, detail: String(defect) })
@@ -175,15 +176,12 @@
   const { limits, clock } = options
   const queue = Effect.runSync(Queue.unbounded<Exchange>())
   const idle = createIdleMonitor(socket, limits, clock())
-  let pendingCount = 0
-  let lastExchange: Exchange | undefined
+  const order = createResponseOrder(isStopping)
   let failure: Refusal | undefined
   const lines = createMessageLines(framingOf)
   let acceptedCount = 0
   const active = new Map<Exchange, Progress>()
-  // Pipelined requests that have arrived are served too, so only the last response closes the connection.
-  const isClosing = (exchange: Exchange): boolean => isStopping() && exchange === lastExchange
-  const context: HandlerContext = { options, dialect, pools, closePolicy: { isClosing }, bodyMemory }
+  const context: HandlerContext = { options, dialect, pools, order, bodyMemory }
   let bytesAtLastCheck = -1
 
   const refuse = (refused: Refusal): void => {
@@ -191,11 +189,17 @@
     sendRawRefusal(socket, refused)
   }
 
+  /** Discards a request behind the last response of the connection. The caller has to send it again on another connection. */
+  const ignore = (exchange: Exchange): void => {
+    options.log.info('request.ignored', { requestId: exchange.id, detail: 'the connection closes after an earlier response' })
+    exchange.incoming.resume()
+  }
+
   const finishExchange = (exchange: Exchange): void => {
     active.delete(exchange)
-    pendingCount--
+    order.remove(exchange)
     idle.restart(clock())
-    if (pendingCount === 0 && failure !== undefined) refuse(failure)
+    if (order.size() === 0 && failure !== undefined) refuse(failure)
   }
 
   const serveExchange = (exchange: Exchange): Effect.Effect<void> => Effect.suspend(() => {
@@ -219,7 +223,7 @@
   const fail = (refused: Refusal): void => {
     if (failure !== undefined) return
     failure = refused
-    if (pendingCount === 0) return refuse(refused)
+    if (order.size() === 0) return refuse(refused)
     // The failure is in the body of an active request, or in a later request that is refused after the active ones.
     for (const exchange of active.keys()) if (!exchange.incoming.complete) exchange.abort(refused, 'caller')
   }
@@ -268,26 +272,25 @@
       acceptedCount++
       checkLines()
       if (failure !== undefined) return
-      if (pendingCount >= MAX_PIPELINED) return fail(refusal('bad-request', `more than ${MAX_PIPELINED} pipelined requests`))
-      pendingCount++
-      lastExchange = exchange
+      if (order.size() >= MAX_PIPELINED) return fail(refusal('bad-request', `more than ${MAX_PIPELINED} pipelined requests`))
+      if (!order.add(exchange)) return ignore(exchange)
       Queue.offerUnsafe(queue, exchange)
     },
     fail,
     check: now => {
       for (const [exchange, progress] of [...active]) checkExchange(exchange, progress, now)
-      if (pendingCount > 0 || failure !== undefined) return
+      if (order.size() > 0 || failure !== undefined) return
       const status = idle.status(now)
       if (status === 'idle') socket.destroySoon()
       if (status === 'late') fail(refusal('caller-too-slow', `the head did not arrive within ${limits.headerTimeMs} ms`))
     },
     closeIfIdle: now => {
-      if (pendingCount > 0 || failure !== undefined) return
+      if (order.size() > 0 || failure !== undefined) return
       const isQuiet = socket.bytesRead === bytesAtLastCheck
       bytesAtLastCheck = socket.bytesRead
       if (isQuiet && !idle.isPartial()) socket.destroySoon()
       if (idle.status(now) === 'late') socket.destroy()
     },
-    inFlight: () => pendingCount
+    inFlight: order.size
   }
 }
--- a/src/entry/request-handler.ts
+++ b/src/entry/request-handler.ts
@@ -6,7 +6,7 @@
 import { refusal, type Refusal } from '../errors/index.js'
 import type { RecordedResponse } from '../model/index.js'
 import { ADDRESSES_PATH } from '../routing/index.js'
-import { relayResponse, sendJson, sendReplay, type ClosePolicy } from './respond.js'
+import { relayResponse, sendJson, sendReplay } from './respond.js'
 import type { AttemptOutcome } from './attempt.js'
 import type { BodyMemory } from './body-memory.js'
 import { createBody } from './body.js'
@@ -17,6 +17,7 @@
 import { endToEndHeaders, headersToRecord } from './headers.js'
 import type { EntryOptions, Ending } from './options.js'
 import type { Pools } from './pool.js'
+import type { ResponseOrder } from './response-order.js'
 import { parseRequest, type ParsedRequest } from './request.js'
 
 /** The VM itself serves the paths below this prefix. */
@@ -27,7 +28,7 @@
   readonly options: EntryOptions
   readonly dialect: Dialect
   readonly pools: Pools
-  readonly closePolicy: ClosePolicy
+  readonly order: ResponseOrder
   readonly bodyMemory: BodyMemory
 }
 
@@ -40,7 +41,7 @@
 }
 
 /** Serves a request for a path of the VM itself. */
-const serveBuiltInPath = Effect.fnUntraced(function * ({ options, closePolicy }: HandlerContext, exchange: Exchange, request: ParsedRequest) {
+const serveBuiltInPath = Effect.fnUntraced(function * ({ options, order }: HandlerContext, exchange: Exchange, request: ParsedRequest) {
   if (request.path !== ADDRESSES_PATH) return yield * Effect.fail(refusal('not-found', `no resource ${request.path}`))
   const { resolveAddresses } = options
   if (resolveAddresses === undefined) return yield * Effect.fail(refusal('not-found', 'this listener does not serve addresses'))
@@ -48,7 +49,7 @@
   const query = new URLSearchParams(request.pathAndQuery.slice(request.path.length))
   const address = exchange.incoming.socket.remoteAddress ?? ''
   const addresses = yield * fromResult(resolveAddresses(query, address, options.clock()))
-  yield * sendJson(exchange, closePolicy, addresses)
+  yield * sendJson(exchange, order, addresses)
   return 'answered' as const
 })
 
@@ -72,7 +73,7 @@
 
 /** Relays a target's response to the caller and records it for the claim. */
 function deliver (
-  { options, dialect, closePolicy }: HandlerContext,
+  { options, dialect, order }: HandlerContext,
   { exchange, deadlineAt }: RoutedRequest,
   checks: PreSendChecks,
   targetResponse: IncomingMessage,
@@ -83,7 +84,7 @@
   const recorder = claim !== undefined && attemptOutcome.run === 'ran' ? createRecorder(targetResponse, dialect.strippedResponseHeaders) : undefined
   const addedHeaders = dialect.responseHeaders({ requestId: exchange.id, attemptRun: attemptOutcome.run, requestRun: exchange.run() })
   const headers = [...endToEndHeaders(targetResponse.rawHeaders, dialect.strippedResponseHeaders), ...addedHeaders]
-  return relayResponse(exchange, closePolicy, targetResponse, {
+  return relayResponse(exchange, order, targetResponse, {
     status: targetResponse.statusCode ?? 0,
     headers,
     buffered: attemptOutcome.buffered,
@@ -110,7 +111,7 @@
 
 /** Forwards a routed request, with a claim if it is not idempotent and has an idempotency key. */
 function forwardRouted (context: HandlerContext, routed: RoutedRequest): Effect.Effect<Ending, Refusal> {
-  const { options, closePolicy } = context
+  const { options, order } = context
   const { exchange } = routed
   const checks = createChecks(options, routed)
   const abandonUnsentClaim = Effect.sync(() => {
@@ -120,7 +121,7 @@
   const replayOrFail = (refused: Refusal): Effect.Effect<Ending, Refusal> => {
     const recordedResponse = checks.replay()
     if (refused !== REPLAY || recordedResponse === undefined) return Effect.fail(refused)
-    return sendReplay(exchange, closePolicy, recordedResponse).pipe(Effect.as('answered' as const))
+    return sendReplay(exchange, order, recordedResponse).pipe(Effect.as('answered' as const))
   }
   return checkAndForward(context, routed, checks).pipe(
     Effect.onExit(() => abandonUnsentClaim),
--- a/src/entry/respond.ts
+++ b/src/entry/respond.ts
@@ -6,14 +6,9 @@
 import { isCompleteResponse, type BufferedBody } from './body-buffer.js'
 import type { Dialect } from './dialect.js'
 import type { Exchange } from './exchange.js'
+import type { ResponseOrder } from './response-order.js'
 import { headersFromRecord, REPLAYED_HEADER, REQUEST_ID_HEADER, trailerPairs } from './headers.js'
 
-/** Decides which response is the last one on a connection. */
-export interface ClosePolicy {
-  /** Whether the connection is closed after the response of this exchange. */
-  readonly isClosing: (exchange: Exchange) => boolean
-}
-
 /** A request body up to this size is drained after a refusal, so that the connection can be kept alive. */
 const MAX_DRAIN_BYTES = 64 * 1024
 /**
@@ -73,10 +68,10 @@
 }
 
 /** Sends a buffered response and drains the rest of the request. */
-const sendBuffered = Effect.fnUntraced(function * (exchange: Exchange, closePolicy: ClosePolicy, buffered: BufferedResponse) {
+const sendBuffered = Effect.fnUntraced(function * (exchange: Exchange, order: ResponseOrder, buffered: BufferedResponse) {
   const { response, incoming } = exchange
   const canKeepAlive = !buffered.close && (incoming.complete || canDrainBody(exchange))
-  const isLast = !canKeepAlive || closePolicy.isClosing(exchange)
+  const isLast = !canKeepAlive || order.isLast(exchange)
   response.writeHead(buffered.status, [...buffered.headers, ...(isLast ? ['Connection', 'close'] : [])])
   response.write(buffered.body)
   exchange.setAwaited(() => 'caller')
@@ -92,32 +87,32 @@
 })
 
 /** Responds with a refusal, or destroys the connection when a response was started. */
-export function sendRefusal (exchange: Exchange, dialect: Dialect, closePolicy: ClosePolicy, refused: Refusal): Effect.Effect<void> {
+export function sendRefusal (exchange: Exchange, dialect: Dialect, order: ResponseOrder, refused: Refusal): Effect.Effect<void> {
   if (exchange.response.headersSent) return Effect.sync(() => { exchange.incoming.socket.destroy() })
   const { status, headers, body, close } = dialect.refusalResponse(refused, exchange.id)
   const { connection, ...otherHeaders } = headers
-  return sendBuffered(exchange, closePolicy, { status, headers: headersFromRecord(otherHeaders), body, close: close || connection !== undefined })
+  return sendBuffered(exchange, order, { status, headers: headersFromRecord(otherHeaders), body, close: close || connection !== undefined })
 }
 
 /** Responds with JSON. */
-export function sendJson (exchange: Exchange, closePolicy: ClosePolicy, value: object): Effect.Effect<void> {
+export function sendJson (exchange: Exchange, order: ResponseOrder, value: object): Effect.Effect<void> {
   const body = JSON.stringify(value)
   const headers = [
     'Content-Type', 'application/json; charset=utf-8',
     'Content-Length', String(Buffer.byteLength(body)),
     'Camphorbay-Request-Id', exchange.id
   ]
-  return sendBuffered(exchange, closePolicy, { status: 200, headers, body, close: false })
+  return sendBuffered(exchange, order, { status: 200, headers, body, close: false })
 }
 
 /** Replays the recorded response of an earlier run. */
-export function sendReplay (exchange: Exchange, closePolicy: ClosePolicy, recorded: RecordedResponse): Effect.Effect<void> {
+export function sendReplay (exchange: Exchange, order: ResponseOrder, recorded: RecordedResponse): Effect.Effect<void> {
   const { 'content-length': length, trailer, ...headers } = recorded.headers
   const body = recorded.body ?? new Uint8Array()
   // A response without body keeps the Content-Length of the target, for example for HEAD.
   const contentLength = body.byteLength > 0 || length === undefined ? String(body.byteLength) : String(length)
   const canHaveLength = recorded.status !== 204 && recorded.status !== 304
-  return sendBuffered(exchange, closePolicy, {
+  return sendBuffered(exchange, order, {
     status: recorded.status,
     headers: [
       ...headersFromRecord(headers),
@@ -160,13 +155,13 @@
  */
 export function relayResponse (
   exchange: Exchange,
-  closePolicy: ClosePolicy,
+  order: ResponseOrder,
   targetResponse: IncomingMessage,
   relay: RelayOptions
 ): Effect.Effect<boolean> {
   const { response } = exchange
   return Effect.callback<boolean>(resume => {
-    const closeHeader = closePolicy.isClosing(exchange) ? ['Connection', 'close'] : []
+    const closeHeader = order.isLast(exchange) ? ['Connection', 'close'] : []
     response.writeHead(relay.status, targetResponse.statusMessage ?? '', [...filterFramingHeaders(exchange, targetResponse, relay.headers), ...closeHeader])
     exchange.setAwaited(() => response.writableNeedDrain ? 'caller' : 'target')
     // Flushes the head if the target pauses after it; otherwise, head and body leave in one write.
--- a/src/entry/stop.test.ts
+++ b/src/entry/stop.test.ts
@@ -61,6 +61,32 @@
   assert.ok(test.finished.every(({ ending }) => ending === 'answered'))
 }))
 
+/** Sends a pipelined request at this interval, which is shorter than the time of a response. */
+const PIPELINE_INTERVAL_MS = 30
+const STOP_LIMIT_MS = 2000
+
+// Guards against a stop that cuts requests off because a caller always sends the next one before the last response.
+stop('a caller that pipelines without a pause gets a complete response to each request that was forwarded', async () => {
+  let forwarded = 0
+  const listener: RequestListener = (incoming, response) => {
+    forwarded++
+    incoming.resume().on('end', () => setTimeout(() => response.end('done'), PIPELINE_INTERVAL_MS * 4))
+  }
+  await withEntry(listener, async test => {
+    const caller = openCaller(test.port)
+    const sending = setInterval(() => { if (!/connection: close/i.test(caller.received())) caller.write(GET) }, PIPELINE_INTERVAL_MS)
+    await caller.until(/done/)
+    const start = performance.now()
+    await Effect.runPromise(test.entry.stop(start))
+    clearInterval(sending)
+    await caller.closed
+    assert.ok(performance.now() - start < STOP_LIMIT_MS, 'the stop ends before its limit')
+    assert.is(caller.received().match(/HTTP\/1\.1 200/g)?.length, forwarded)
+    assert.is(caller.received().match(/done/g)?.length, forwarded)
+    assert.match(caller.received(), /connection: close/i)
+  }, { limits: { stopLimitMs: STOP_LIMIT_MS } })
+})
+
 stop('a stop refuses new connections', () => withEntry(slow, async test => {
   await Effect.runPromise(test.entry.stop(performance.now()))
   const caller = openCaller(test.port)
