--- a/src/entry/callers.test.ts
+++ b/src/entry/callers.test.ts
@@ -104,6 +104,38 @@
   })
 }
 
+/** More than the socket buffers that Node.js fills before it stops reading a connection. */
+const LARGE_RESPONSE = 'x'.repeat(20_000)
+/** Time within which the VM notices that a caller left, also when unread requests are on the connection. */
+const NOTICE_MS = 500
+
+// Guards against responses that wait for their turn and keep the VM from reading the close of the connection.
+callers('a caller that leaves while responses wait behind a slow one aborts the request at the target', async () => {
+  let fast = 0
+  let slowEndedAt: number | undefined
+  await withEntry((incoming, response) => {
+    if (!incoming.url?.startsWith('/read/slow')) {
+      fast++
+      return response.end(LARGE_RESPONSE)
+    }
+    response.on('close', () => { slowEndedAt = performance.now() })
+  }, async test => {
+    const caller = openCaller(test.port)
+    const get = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: x\r\n\r\n`
+    caller.write(get('/read/slow') + get('/read/fast') + get('/read/fast'))
+    await eventually(() => fast === 2, 'the targets have answered the later requests')
+    await pause(50)
+    for (let count = 0; count < 3; count++) {
+      caller.write(get('/read/fast'))
+      await pause(30)
+    }
+    const leftAt = performance.now()
+    caller.socket.destroy()
+    await eventually(() => slowEndedAt !== undefined, 'the target sees the end of the slow request')
+    assert.ok((slowEndedAt ?? 0) - leftAt < NOTICE_MS)
+  }, { overrides: { responseBufferBytes: 64 * 1024 } })
+})
+
 // A half-closed connection is treated as a disconnect, because most disconnects look like that.
 callers('a caller that half-closes its connection gets no response, and its request is cancelled', () => withEntry((_, response) => {
   setTimeout(() => response.end('late'), 500)
--- a/src/entry/connection.ts
+++ b/src/entry/connection.ts
@@ -141,8 +141,8 @@
 }
 
 /**
- * Serves the requests of one connection. Node.js sends the responses in the order of the requests, so
- * pipelined requests without a body run concurrently; a request with a body waits for the earlier ones.
+ * Serves the requests of one connection. Pipelined requests without a body run concurrently, and their responses
+ * wait for their turn; a request with a body waits for the earlier ones.
  */
 const serveAll = Effect.fnUntraced(function * (
   queue: Queue.Queue<Exchange>,
@@ -236,6 +236,10 @@
   const checkExchange = (exchange: Exchange, progress: Progress, now: number): void => {
     const { abortedAt } = progress
     if (abortedAt !== undefined) {
+      if (!order.hasTurn(exchange)) {
+        active.set(exchange, { ...progress, abortedAt: now })
+        return
+      }
       // Not even the response to the aborted request makes progress: the caller neither reads it nor ends its request.
       if (now - abortedAt >= ABORT_TIMEOUT_MS) socket.destroy()
       return
--- a/src/entry/forward.ts
+++ b/src/entry/forward.ts
@@ -14,7 +14,7 @@
   /** Run after a connection is acquired and before the first byte is sent to a target. */
   readonly checks: PreSendChecks
   /** Relays the final response of a target to the caller; false when it was truncated. */
-  readonly deliver: (targetResponse: IncomingMessage, outcome: AttemptOutcome, onComplete: () => void) => Effect.Effect<boolean>
+  readonly deliver: (targetResponse: IncomingMessage, outcome: AttemptOutcome, onComplete: () => void) => Effect.Effect<boolean, Refusal>
 }
 
 /** The stall timeout of a reused connection is this multiple of the median latency. */
@@ -176,7 +176,9 @@
     const { targetResponse } = outcome
     if (targetResponse === undefined) return Effect.fail(refusal(errorKindOf(outcome), outcome.detail, { run: exchange.run() }))
     return plan.deliver(targetResponse, outcome, () => attempt.complete(observedResult(outcome))).pipe(
-      Effect.tap(isComplete => Effect.sync(() => { if (!isComplete) attempt.complete('truncated') }))
+      Effect.tap(isComplete => Effect.sync(() => { if (!isComplete) attempt.complete('truncated') })),
+      // A response that waited for earlier ones until the deadline says nothing about its target.
+      Effect.tapError(({ kind }) => Effect.sync(() => attempt.complete(kind === 'target-failed' ? 'truncated' : 'cancelled')))
     )
   }
 
--- a/src/entry/request-handler.ts
+++ b/src/entry/request-handler.ts
@@ -6,7 +6,8 @@
 import { refusal, type Refusal } from '../errors/index.js'
 import type { RecordedResponse } from '../model/index.js'
 import { ADDRESSES_PATH } from '../routing/index.js'
-import { relayResponse, sendJson, sendReplay } from './respond.js'
+import { relayResponse } from './relay.js'
+import { sendJson, sendReplay } from './respond.js'
 import type { AttemptOutcome } from './attempt.js'
 import type { BodyMemory } from './body-memory.js'
 import { createBody } from './body.js'
@@ -79,7 +80,7 @@
   targetResponse: IncomingMessage,
   attemptOutcome: AttemptOutcome,
   onComplete: () => void
-): Effect.Effect<boolean> {
+): Effect.Effect<boolean, Refusal> {
   const claim = checks.claim()
   const recorder = claim !== undefined && attemptOutcome.run === 'ran' ? createRecorder(targetResponse, dialect.strippedResponseHeaders) : undefined
   const addedHeaders = dialect.responseHeaders({ requestId: exchange.id, attemptRun: attemptOutcome.run, requestRun: exchange.run() })
@@ -88,7 +89,7 @@
     status: targetResponse.statusCode ?? 0,
     headers,
     buffered: attemptOutcome.buffered,
-    timeoutMs: options.isDeadlineForBody === true ? deadlineAt - options.clock() : undefined,
+    remainingMs: () => options.isDeadlineForBody === true ? deadlineAt - options.clock() : undefined,
     onChunk: recorder?.onChunk,
     onComplete: () => {
       onComplete()
--- a/src/entry/respond.ts
+++ b/src/entry/respond.ts
@@ -1,13 +1,11 @@
-/** Sends responses to callers: refusals, JSON, replayed responses and responses of targets. */
-import type { IncomingMessage } from 'node:http'
+/** Sends responses that are in memory to callers: refusals, JSON and replayed responses. */
 import { Effect } from 'effect'
 import type { Refusal } from '../errors/index.js'
 import type { RecordedResponse } from '../model/index.js'
-import { isCompleteResponse, type BufferedBody } from './body-buffer.js'
 import type { Dialect } from './dialect.js'
 import type { Exchange } from './exchange.js'
 import type { ResponseOrder } from './response-order.js'
-import { headersFromRecord, REPLAYED_HEADER, REQUEST_ID_HEADER, trailerPairs } from './headers.js'
+import { headersFromRecord, REPLAYED_HEADER, REQUEST_ID_HEADER } from './headers.js'
 
 /** A request body up to this size is drained after a refusal, so that the connection can be kept alive. */
 const MAX_DRAIN_BYTES = 64 * 1024
@@ -18,7 +16,7 @@
 const LINGER_TIMEOUT_MS = 1000
 
 /** Waits until the response was written to the socket or the caller disconnected. */
-function waitUntilSent (exchange: Exchange): Effect.Effect<void> {
+export function waitUntilSent (exchange: Exchange): Effect.Effect<void> {
   const { response } = exchange
   return Effect.callback(resume => {
     if (response.writableFinished || response.destroyed) return resume(Effect.void)
@@ -29,7 +27,7 @@
 }
 
 /** Reads and discards the rest of a request body, for at most `timeoutMs` if given. */
-function drain (exchange: Exchange, timeoutMs?: number): Effect.Effect<void> {
+export function drain (exchange: Exchange, timeoutMs?: number): Effect.Effect<void> {
   const { incoming } = exchange
   return Effect.callback(resume => {
     if (incoming.complete || incoming.destroyed) {
@@ -70,6 +68,7 @@
 /** Sends a buffered response and drains the rest of the request. */
 const sendBuffered = Effect.fnUntraced(function * (exchange: Exchange, order: ResponseOrder, buffered: BufferedResponse) {
   const { response, incoming } = exchange
+  yield * order.awaitTurn(exchange)
   const canKeepAlive = !buffered.close && (incoming.complete || canDrainBody(exchange))
   const isLast = !canKeepAlive || order.isLast(exchange)
   response.writeHead(buffered.status, [...buffered.headers, ...(isLast ? ['Connection', 'close'] : [])])
@@ -123,82 +122,3 @@
     close: false
   })
 }
-
-/** Head and buffered start of a response to relay, with its callbacks. */
-export interface RelayOptions {
-  readonly status: number
-  readonly headers: readonly string[]
-  /** The part of the body that was read already. */
-  readonly buffered: BufferedBody
-  /** Time within which the target must have sent the complete response, in ms; undefined for no limit. */
-  readonly timeoutMs: number | undefined
-  /** Receives each chunk of the body. */
-  readonly onChunk: ((chunk: Buffer) => void) | undefined
-  /** Called when the target has sent the complete response, before the caller has received it. */
-  readonly onComplete: () => void
-}
-
-/** Removes headers that do not fit the framing of this response. */
-function filterFramingHeaders (exchange: Exchange, targetResponse: IncomingMessage, headers: readonly string[]): string[] {
-  const isChunked = targetResponse.headers['transfer-encoding'] !== undefined && exchange.incoming.httpVersion === '1.1'
-  return headers.filter((_, index) => {
-    const name = headers[index - index % 2]?.toLowerCase()
-    if (name === 'trailer') return isChunked
-    return name !== 'content-length' || targetResponse.statusCode !== 204
-  })
-}
-
-/**
- * Streams a target's response and its trailers to the caller with backpressure.
- *
- * @returns whether the response was complete; otherwise it must not look complete to the caller
- */
-export function relayResponse (
-  exchange: Exchange,
-  order: ResponseOrder,
-  targetResponse: IncomingMessage,
-  relay: RelayOptions
-): Effect.Effect<boolean> {
-  const { response } = exchange
-  return Effect.callback<boolean>(resume => {
-    const closeHeader = order.isLast(exchange) ? ['Connection', 'close'] : []
-    response.writeHead(relay.status, targetResponse.statusMessage ?? '', [...filterFramingHeaders(exchange, targetResponse, relay.headers), ...closeHeader])
-    exchange.setAwaited(() => response.writableNeedDrain ? 'caller' : 'target')
-    // Flushes the head if the target pauses after it; otherwise, head and body leave in one write.
-    const flush = setImmediate(() => response.flushHeaders())
-    const cleanUp = (): void => {
-      clearImmediate(flush)
-      clearTimeout(timeout)
-      targetResponse.unpipe(response)
-      targetResponse.off('end', onEnd).off('close', onTruncated).off('error', onTruncated)
-      if (relay.onChunk !== undefined) targetResponse.off('data', relay.onChunk)
-    }
-    const onTruncated = (): void => {
-      cleanUp()
-      resume(Effect.succeed(false))
-    }
-    const timeout = relay.timeoutMs === undefined ? undefined : setTimeout(onTruncated, Math.ceil(Math.max(0, relay.timeoutMs)))
-    const onEnd = (): void => {
-      if (!isCompleteResponse(targetResponse)) return onTruncated()
-      cleanUp()
-      exchange.setAwaited(() => 'caller')
-      relay.onComplete()
-      const trailers = trailerPairs(targetResponse.rawTrailers)
-      if (trailers.length > 0 && response.chunkedEncoding) response.addTrailers(trailers)
-      response.end()
-      resume(waitUntilSent(exchange).pipe(Effect.as(true)))
-    }
-    targetResponse.on('end', onEnd).on('close', onTruncated).on('error', onTruncated)
-    for (const chunk of relay.buffered.chunks) {
-      relay.onChunk?.(chunk)
-      response.write(chunk)
-    }
-    if (relay.buffered.isComplete) return onEnd()
-    if (relay.onChunk !== undefined) targetResponse.on('data', relay.onChunk)
-    targetResponse.pipe(response, { end: false })
-    return Effect.sync(cleanUp)
-  }).pipe(
-    // After an early response, the rest of the request body has to be drained before the next request.
-    Effect.tap(isComplete => isComplete ? drain(exchange) : Effect.void)
-  )
-}
--- a/src/entry/response-order.ts
+++ b/src/entry/response-order.ts
@@ -1,4 +1,10 @@
-/** The order of the responses on a caller's connection. */
+/**
+ * The order of the responses on a caller's connection.
+ *
+ * A response that is ready before its turn is not written to the HTTP server's queue: Node.js would stop reading a
+ * connection with more than 16 KB in that queue, and the VM would not notice that the caller closed it.
+ */
+import { Effect } from 'effect'
 import type { Exchange } from './exchange.js'
 
 /** The requests of one connection without a complete response, in the order of their arrival. */
@@ -8,6 +14,9 @@
    * to an earlier request; the caller then counts the request as not received.
    */
   readonly add: (exchange: Exchange) => boolean
+  /** Waits until the responses to all earlier requests were sent. Only then may anything be written for this request. */
+  readonly awaitTurn: (exchange: Exchange) => Effect.Effect<void>
+  readonly hasTurn: (exchange: Exchange) => boolean
   /** Removes a request whose response was sent. */
   readonly remove: (exchange: Exchange) => void
   /** Whether the connection closes after the response to this request, whose head is about to be written. */
@@ -25,19 +34,33 @@
  * @example
  * const order = createResponseOrder(() => isStopping)
  * if (order.add(exchange)) serve(exchange)
+ * yield* order.awaitTurn(exchange)
+ * exchange.response.end('...')
  */
 export function createResponseOrder (isStopping: () => boolean): ResponseOrder {
   const pending: Exchange[] = []
+  const waiting = new Map<Exchange, () => void>()
   const canAnnounceClose = (): boolean => pending.some(({ response }) => !response.headersSent)
+  const hasTurn = (exchange: Exchange): boolean => pending[0] === exchange
   return {
     add: exchange => {
       if (isStopping() && canAnnounceClose()) return false
       pending.push(exchange)
       return true
     },
+    awaitTurn: exchange => Effect.callback(resume => {
+      if (hasTurn(exchange)) return resume(Effect.void)
+      waiting.set(exchange, () => resume(Effect.void))
+      return Effect.sync(() => { waiting.delete(exchange) })
+    }),
+    hasTurn,
     remove: exchange => {
       const index = pending.indexOf(exchange)
       if (index >= 0) pending.splice(index, 1)
+      const [next] = pending
+      if (next === undefined) return
+      waiting.get(next)?.()
+      waiting.delete(next)
     },
     isLast: exchange => isStopping() && exchange === pending.at(-1),
     size: () => pending.length
