--- a/src/following/catalog-sync.ts
+++ b/src/following/catalog-sync.ts
@@ -15,7 +15,7 @@
 const LONG_POLL_MIN_MS = 100
 /** Pause after a batch of changes, in ms, so that changes in quick succession arrive with one call. Entries of targets that warm up change with each of their heartbeats. */
 const COALESCING_MS: Readonly<Record<Section, number>> = { rulesets: 40, listings: 200 }
-/** Time without any confirmation that indicates an outage of the store, in ms: every VM has tried to read it by then. */
+/** Time without any confirmation after which a failed call indicates an outage of the store, in ms: every VM has tried to read it by then. */
 const OUTAGE_MS = 2100
 /** Bounds on the interval at which a VM that does not read evaluates the reader election, in ms; it can only change when a confirmation is overdue. */
 const ELECTION_INTERVAL_MIN_MS = 100
@@ -105,10 +105,16 @@
 
   const markConfirmed = (section: Section, at: number): void => { confirmedAt[section] = Math.max(confirmedAt[section], at) }
 
-  /** Starts the grace period of the catalog if the section was not confirmed for so long that the store must have been down. */
+  /** When a call last failed that tells of the store itself, and not of a connection that had died. */
+  let unavailableAt = -Infinity
+
+  /**
+   * Starts the grace period of the catalog if the store was down while the section was not confirmed. The time alone
+   * does not show that: connections to a working store can go silent, and a paused VM confirms nothing.
+   */
   const detectOutageEnd = (section: Section, now: number): void => {
     const ageMs = now - confirmedAt[section]
-    if (ageMs < OUTAGE_MS || !Number.isFinite(ageMs)) return
+    if (ageMs < OUTAGE_MS || !Number.isFinite(ageMs) || unavailableAt < confirmedAt[section]) return
     log.info('store.returned', { section, ageMs: Math.round(ageMs) })
     catalog.recordStoreRecovery(now)
   }
@@ -152,7 +158,10 @@
     }
     state.failures++
     state.isImmediate = true
-    if (state.failures === 1) log.warn('store.lost', { section: state.section, detail })
+    if (state.failures === 1) log.warn('store.lost', { section: state.section, kind, detail })
+    if (kind === 'unavailable') unavailableAt = clock()
+    // The next call uses a new connection, so it shows at once whether the store works.
+    else if (state.failures === 1) return Effect.void
     const backoffMs = Math.min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2 ** Math.min(state.failures - 1, 4))
     return Effect.sleep(backoffMs * (0.5 + options.random()))
   })
--- a/src/platform/exchange.ts
+++ b/src/platform/exchange.ts
@@ -36,6 +36,8 @@
 export interface ExchangeProgress {
   /** Whether bytes of the request may have reached the platform. */
   mayHaveBeenSent: boolean
+  /** Whether the request uses a pooled connection, which may be dead although the platform works; undefined before it has a connection. */
+  isConnectionReused?: boolean
 }
 
 /** Buffers the body of a response; the callback receives undefined when the body exceeds the size limit. */
@@ -50,9 +52,10 @@
   response.on('end', () => done(Buffer.concat(chunks)))
 }
 
-/** Records when bytes of the request can first reach the platform. */
+/** Records which kind of connection the request uses, and when bytes of it can first reach the platform. */
 function recordSend (request: ClientRequest, progress: ExchangeProgress): void {
   request.once('socket', socket => {
+    progress.isConnectionReused = request.reusedSocket
     // Node.js sends the request as soon as the socket is connected.
     if (socket.connecting) socket.once('connect', () => { progress.mayHaveBeenSent = true })
     else progress.mayHaveBeenSent = true
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -6,10 +6,11 @@
 /** Why a call to the store failed. */
 export interface StoreFailure {
   /**
-   * `unavailable`: the store did not respond or refused the call. `history-lost`: the changes after
-   * the given version are no longer kept, so the whole section must be read again.
+   * `unavailable`: the store did not respond or refused the call. `connection-lost`: an open connection ended or went
+   * silent, which says nothing about the store; the next call uses a new one. `history-lost`: the changes after the
+   * given version are no longer kept, so the whole section must be read again.
    */
-  readonly kind: 'unavailable' | 'history-lost'
+  readonly kind: 'unavailable' | 'connection-lost' | 'history-lost'
   readonly detail: string
 }
 
