Add no request behind a response that has announced the close (LOST around a planned stop)

Cause: the head of the last response announced the close, but requests that arrived until the connection was closed were still accepted and forwarded. On the untouched code, a fast response that was ready before a slow one ahead of it made that announcement long before its turn.

Fix: closesAfter() in response-order.ts decides once, when the head is written, and from then on no request is added.

The new case in stop.test.ts failed before (2 requests forwarded instead of 1) and passes now.

--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -33,7 +33,7 @@
 }
 
 function writeHead (exchange: Exchange, order: ResponseOrder, targetResponse: IncomingMessage, { status, headers }: RelayOptions): void {
-  const closeHeader = order.isLast(exchange) ? ['Connection', 'close'] : []
+  const closeHeader = order.closesAfter(exchange, false) ? ['Connection', 'close'] : []
   exchange.response.writeHead(status, targetResponse.statusMessage ?? '', [...filterFramingHeaders(exchange, targetResponse, headers), ...closeHeader])
 }
 
--- a/src/entry/respond.ts
+++ b/src/entry/respond.ts
@@ -70,7 +70,7 @@
   const { response, incoming } = exchange
   yield * order.awaitTurn(exchange)
   const canKeepAlive = !buffered.close && (incoming.complete || canDrainBody(exchange))
-  const isLast = !canKeepAlive || order.isLast(exchange)
+  const isLast = order.closesAfter(exchange, !canKeepAlive)
   response.writeHead(buffered.status, [...buffered.headers, ...(isLast ? ['Connection', 'close'] : [])])
   response.write(buffered.body)
   exchange.setAwaited(() => 'caller')
--- a/src/entry/response-order.ts
+++ b/src/entry/response-order.ts
@@ -19,8 +19,12 @@
   readonly hasTurn: (exchange: Exchange) => boolean
   /** Removes a request whose response was sent. */
   readonly remove: (exchange: Exchange) => void
-  /** Whether the connection closes after the response to this request, whose head is about to be written. */
-  readonly isLast: (exchange: Exchange) => boolean
+  /**
+   * Decides whether the connection closes after the response to this request, whose head is about to be written.
+   * `mustClose`: it closes in any case, for example because the rest of the request cannot be read. Once the head
+   * announces the close, no further request is added.
+   */
+  readonly closesAfter: (exchange: Exchange, mustClose: boolean) => boolean
   /** Number of requests without a complete response. */
   readonly size: () => number
 }
@@ -39,12 +43,13 @@
  */
 export function createResponseOrder (isStopping: () => boolean): ResponseOrder {
   const pending: Exchange[] = []
+  let isClosing = false
   const waiting = new Map<Exchange, () => void>()
   const canAnnounceClose = (): boolean => pending.some(({ response }) => !response.headersSent)
   const hasTurn = (exchange: Exchange): boolean => pending[0] === exchange
   return {
     add: exchange => {
-      if (isStopping() && canAnnounceClose()) return false
+      if (isClosing || (isStopping() && canAnnounceClose())) return false
       pending.push(exchange)
       return true
     },
@@ -62,7 +67,10 @@
       waiting.get(next)?.()
       waiting.delete(next)
     },
-    isLast: exchange => isStopping() && exchange === pending.at(-1),
+    closesAfter: (exchange, mustClose) => {
+      isClosing ||= mustClose || (isStopping() && exchange === pending.at(-1))
+      return isClosing
+    },
     size: () => pending.length
   }
 }
--- a/src/entry/stop.test.ts
+++ b/src/entry/stop.test.ts
@@ -87,6 +87,29 @@
   }, { limits: { stopLimitMs: STOP_LIMIT_MS } })
 })
 
+// Guards against a request that is forwarded although the response ahead of it has announced the close.
+stop('a request that arrives after the announcement of the close, during the last response, is not forwarded', async () => {
+  let forwarded = 0
+  const listener: RequestListener = (_, response) => {
+    forwarded++
+    response.writeHead(200, { 'Content-Length': '10' }).write('first')
+    setTimeout(() => response.end('-last'), PART_MS)
+  }
+  await withEntry(listener, async test => {
+    const caller = openCaller(test.port)
+    const stopped = Effect.runPromise(Effect.sleep(20).pipe(Effect.andThen(test.entry.stop(performance.now()))))
+    caller.write(GET.slice(0, 10))
+    await pause(60)
+    caller.write(GET.slice(10))
+    await caller.until(/connection: close.*first/is)
+    caller.write(GET)
+    await stopped
+    await caller.closed
+    assert.match(caller.received(), /first-last$/)
+    assert.is(forwarded, 1)
+  })
+})
+
 stop('a stop refuses new connections', () => withEntry(slow, async test => {
   await Effect.runPromise(test.entry.stop(performance.now()))
   const caller = openCaller(test.port)
