Linger after the last response instead of resetting the connection (LOST around a planned stop)

What callers saw: around a SIGTERM, the connection of a caller that pipelines ended before the whole last response had arrived, or before any of it.

Cause: the connection was closed right after the last response. Requests that are unread at that moment or arrive later make the system reset the connection and drop the bytes that it has not sent yet.

Fix: closeLingering() half-closes the connection and discards what the caller still sends until it closes its side. Idle connections are closed at once, unread, because the caller may then repeat any request.

--- a/src/entry/connection.ts
+++ b/src/entry/connection.ts
@@ -6,6 +6,7 @@
 import type { BodyMemory } from './body-memory.js'
 import type { Dialect } from './dialect.js'
 import type { Exchange } from './exchange.js'
+import { closeLingering } from './lingering-close.js'
 import { handleRequest, type HandlerContext } from './request-handler.js'
 import { createMessageLines, framingOf } from './message-lines.js'
 import type { Ending, EntryOptions, Limits } from './options.js'
@@ -183,6 +184,8 @@
   const active = new Map<Exchange, Progress>()
   const context: HandlerContext = { options, dialect, pools, order, bodyMemory }
   let bytesAtLastCheck = -1
+  // Node.js calls this after the last response.
+  socket.destroySoon = () => closeLingering(socket)
 
   const refuse = (refused: Refusal): void => {
     options.log.info('connection.refused', { kind: refused.kind, detail: refused.detail })
@@ -221,7 +224,7 @@
   })
 
   const fail = (refused: Refusal): void => {
-    if (failure !== undefined) return
+    if (failure !== undefined || socket.writableEnded) return
     failure = refused
     if (order.size() === 0) return refuse(refused)
     // The failure is in the body of an active request, or in a later request that is refused after the active ones.
@@ -283,16 +286,17 @@
     fail,
     check: now => {
       for (const [exchange, progress] of [...active]) checkExchange(exchange, progress, now)
-      if (order.size() > 0 || failure !== undefined) return
+      if (order.size() > 0 || failure !== undefined || socket.writableEnded) return
       const status = idle.status(now)
-      if (status === 'idle') socket.destroySoon()
+      if (status === 'idle') socket.destroy()
       if (status === 'late') fail(refusal('caller-too-slow', `the head did not arrive within ${limits.headerTimeMs} ms`))
     },
     closeIfIdle: now => {
-      if (order.size() > 0 || failure !== undefined) return
+      if (order.size() > 0 || failure !== undefined || socket.writableEnded) return
       const isQuiet = socket.bytesRead === bytesAtLastCheck
       bytesAtLastCheck = socket.bytesRead
-      if (isQuiet && !idle.isPartial()) socket.destroySoon()
+      // A request that arrives at this moment stays unread, so its caller may send it again whatever it is.
+      if (isQuiet && !idle.isPartial()) socket.destroy()
       if (idle.status(now) === 'late') socket.destroy()
     },
     inFlight: order.size
--- a/src/entry/stop.test.ts
+++ b/src/entry/stop.test.ts
@@ -110,6 +110,29 @@
   })
 })
 
+/** The system buffers this much for a connection, so that the VM has sent the response before the caller reads it. */
+const BUFFERED_BYTES = 2_000_000
+
+// Guards against a reset by requests behind the last response, which drops the part of it that the caller has not read.
+stop('a caller that reads slowly and pipelines gets the whole last response', () => withEntry((incoming, response) => {
+  incoming.resume().on('end', () => setTimeout(() => response.end('x'.repeat(BUFFERED_BYTES)), PART_MS / 2))
+}, async test => {
+  const caller = openCaller(test.port)
+  caller.write(GET)
+  await pause(50)
+  caller.socket.pause()
+  const stopped = Effect.runPromise(test.entry.stop(performance.now()))
+  await pause(PART_MS)
+  for (let count = 0; count < 3; count++) {
+    caller.write(GET)
+    await pause(20)
+  }
+  caller.socket.resume()
+  await stopped
+  await caller.closed
+  assert.is(caller.received().match(/x/g)?.length, BUFFERED_BYTES)
+}))
+
 stop('a stop refuses new connections', () => withEntry(slow, async test => {
   await Effect.runPromise(test.entry.stop(performance.now()))
   const caller = openCaller(test.port)
