Measure the time limit of a stop from the signal

What callers saw: with a grace period of 10 s, requests were cut off 8.25 s after the SIGTERM, before its last sixth.

Cause: the limit assumed that the delay before the entry stops is always 0.45 of the grace period, although three times the TTL of address lists bounds it.

Fix: the limit runs from the SIGTERM to shortly before the end of the grace period.

--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -207,7 +207,7 @@
     dialect,
     log,
     clock,
-    limits: createLimits(catalog, () => settings.graceMs * (1 - DRAIN_DELAY_FRACTION) - EXIT_MARGIN_MS)
+    limits: createLimits(catalog, () => settings.graceMs - EXIT_MARGIN_MS)
   })
 
   const isReady = (): boolean => readySince !== undefined && !isLeaving
@@ -280,7 +280,7 @@
       log.info('vm.stopping', { graceMs: settings.graceMs })
       roster.announce(stopAt)
       yield * Effect.sleep(Math.min(settings.graceMs * DRAIN_DELAY_FRACTION, settings.addressTtlMs * ADDRESS_CACHE_FACTOR))
-      yield * entry.stop(clock())
+      yield * entry.stop(stopAt)
       yield * Effect.forEach(fibers, Fiber.interrupt, { discard: true })
       yield * mesh.stop()
       store.close()
