Refuse to forward requests that a stopping VM may not answer (LOST)

What callers saw: a request that arrived late in the grace period was forwarded and then cut off without a response, also if it was not idempotent (reported by another operator, reproduced here).

Cause: a stopping VM forwarded requests whatever time was left.

Fix: after the first tenth of the shutdown, a request is sent to a target only if its deadline is before the end of the VM; otherwise it is refused as 'stopping', not run. The check runs before each send.

--- a/src/entry/connection.ts
+++ b/src/entry/connection.ts
@@ -13,6 +13,7 @@
 import type { Pools } from './pool.js'
 import { createResponseOrder } from './response-order.js'
 import { sendRawRefusal } from './raw-refusal.js'
+import type { Shutdown } from './shutdown.js'
 
 /** A connection from a caller. */
 export interface CallerConnection {
@@ -168,21 +169,22 @@
   readonly dialect: Dialect
   readonly pools: Pools
   readonly bodyMemory: BodyMemory
-  readonly isStopping: () => boolean
+  /** Undefined until the entry stops. */
+  readonly shutdown: () => Shutdown | undefined
 }
 
 /** Creates the connection and starts its fiber, which is interrupted when the connection closes. */
 export function createCallerConnection (shared: ConnectionContext, socket: Socket, onClose: () => void): CallerConnection {
-  const { options, dialect, pools, bodyMemory, isStopping } = shared
+  const { options, dialect, pools, bodyMemory, shutdown } = shared
   const { limits, clock } = options
   const queue = Effect.runSync(Queue.unbounded<Exchange>())
   const idle = createIdleMonitor(socket, limits, clock())
-  const order = createResponseOrder(isStopping)
+  const order = createResponseOrder(() => shutdown() !== undefined)
   let failure: Refusal | undefined
   const lines = createMessageLines(framingOf)
   let acceptedCount = 0
   const active = new Map<Exchange, Progress>()
-  const context: HandlerContext = { options, dialect, pools, order, bodyMemory }
+  const context: HandlerContext = { options, dialect, pools, order, bodyMemory, shutdown }
   let bytesAtLastCheck = -1
   // Node.js calls this after the last response.
   socket.destroySoon = () => closeLingering(socket)
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -12,6 +12,7 @@
 import { createBodyMemory, NO_BODY_MEMORY } from './body-memory.js'
 import { createPools } from './pool.js'
 import { sendRawRefusal } from './raw-refusal.js'
+import type { Shutdown } from './shutdown.js'
 
 /** State of the entry, as shown to operators. */
 export interface EntryState {
@@ -79,11 +80,11 @@
   const connections = new Map<Socket, CallerConnection>()
   const pools = createPools(options)
   const bodyMemory = createBodyMemory(options.bodyMemory ?? NO_BODY_MEMORY)
-  let isStopping = false
+  let shutdown: Shutdown | undefined
   let acceptedCount = 0
   let checkLoop: Fiber.Fiber<unknown> | undefined
 
-  const context = { options, dialect, pools, bodyMemory, isStopping: () => isStopping }
+  const context = { options, dialect, pools, bodyMemory, shutdown: () => shutdown }
 
   // The HTTP server gets its connections from the TCP listener below, because its own `close`
   // would destroy idle connections whose next request has already arrived.
@@ -182,9 +183,9 @@
   })
 
   const stop = (now: number): Effect.Effect<void> => Effect.gen(function * () {
-    const isFirst = !isStopping
+    const isFirst = shutdown === undefined
     // Responses that start from now on close their connection.
-    isStopping = true
+    shutdown ??= { startedAt: clock(), endsAt: now + limits.stopLimitMs }
     yield * acceptPending
     if (isFirst) listener.close()
     log.info('callers.stopping', { connections: connections.size })
@@ -209,7 +210,7 @@
       callerConnections: connections.size,
       targetConnections: pools.openConnections(),
       unsentBytes: [...connections.keys()].reduce((sum, socket) => sum + socket.writableLength, 0),
-      stopping: isStopping
+      stopping: shutdown !== undefined
     })
   }
 }
--- a/src/entry/pre-send-checks.ts
+++ b/src/entry/pre-send-checks.ts
@@ -7,6 +7,7 @@
 import { fingerprintOf } from './fingerprint.js'
 import type { EntryOptions } from './options.js'
 import type { ParsedRequest } from './request.js'
+import { refuseLate, type Shutdown } from './shutdown.js'
 
 /** A routed request of which nothing was sent to a target yet. */
 export interface RoutedRequest {
@@ -21,9 +22,9 @@
 /** The checks and their results. */
 export interface PreSendChecks {
   /**
-   * Buffers the prefix of the body and checks the request. Runs once; later
-   * calls do nothing. Errors: `request-quarantined`, `deadline-too-short`,
-   * those of the claim, and `REPLAY`.
+   * Buffers the prefix of the body and checks the request; later calls only
+   * check whether the VM is about to end. Errors: `request-quarantined`,
+   * `deadline-too-short`, `stopping`, those of the claim, and `REPLAY`.
    */
   readonly run: Effect.Effect<void, Refusal>
   /** Undefined until the checks have run. */
@@ -95,10 +96,14 @@
 })
 
 /** Creates the checks of one request. */
-export function createChecks (options: EntryOptions, routed: RoutedRequest): PreSendChecks {
+export function createChecks (options: EntryOptions, routed: RoutedRequest, shutdown: () => Shutdown | undefined): PreSendChecks {
   const state: State = { fingerprint: undefined, claim: undefined, replay: undefined }
+  const failIfLate = Effect.suspend(() => {
+    const refused = refuseLate(shutdown(), routed.deadlineAt, options.clock())
+    return refused === undefined ? Effect.void : Effect.fail(refused)
+  })
   return {
-    run: Effect.suspend(() => runChecks(options, routed, state)),
+    run: Effect.suspend(() => runChecks(options, routed, state)).pipe(Effect.andThen(failIfLate)),
     fingerprint: () => state.fingerprint,
     claim: () => state.claim,
     replay: () => state.replay
--- a/src/entry/request-handler.ts
+++ b/src/entry/request-handler.ts
@@ -20,6 +20,7 @@
 import type { Pools } from './pool.js'
 import type { ResponseOrder } from './response-order.js'
 import { parseRequest, type ParsedRequest } from './request.js'
+import type { Shutdown } from './shutdown.js'
 
 /** The VM itself serves the paths below this prefix. */
 const BUILT_IN_PREFIX = '/.camphorbay/'
@@ -31,6 +32,8 @@
   readonly pools: Pools
   readonly order: ResponseOrder
   readonly bodyMemory: BodyMemory
+  /** Undefined until the entry stops. */
+  readonly shutdown: () => Shutdown | undefined
 }
 
 function fromResult<A> (result: Outcome<A, Refusal>): Effect.Effect<A, Refusal> {
@@ -114,7 +117,7 @@
 function forwardRouted (context: HandlerContext, routed: RoutedRequest): Effect.Effect<Ending, Refusal> {
   const { options, order } = context
   const { exchange } = routed
-  const checks = createChecks(options, routed)
+  const checks = createChecks(options, routed, context.shutdown)
   const abandonUnsentClaim = Effect.sync(() => {
     const claim = checks.claim()
     if (claim !== undefined && exchange.run() === 'not-run') options.claims?.abandon(claim)
--- a/src/entry/stop.test.ts
+++ b/src/entry/stop.test.ts
@@ -133,6 +133,24 @@
   assert.is(caller.received().match(/x/g)?.length, BUFFERED_BYTES)
 }))
 
+// Guards against a request that arrives late in a stop, is forwarded, and gets no response when the VM ends.
+stop('a request that arrives late in a stop is refused as not run, unless its deadline is before the end', () => withEntry(slow, async test => {
+  const callers = ['Camphorbay-Deadline-Ms: 4000', 'Camphorbay-Deadline-Ms: 1600'].map(deadline => {
+    const caller = openCaller(test.port)
+    caller.write(`POST /write HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n${deadline}`)
+    return caller
+  })
+  await pause(50)
+  const stopped = Effect.runPromise(test.entry.stop(performance.now()))
+  await pause(500)
+  for (const caller of callers) caller.write('\r\n\r\n')
+  await stopped
+  for (const { closed } of callers) await closed
+  const [late, short] = callers.map(({ received }) => received())
+  assert.match(late ?? '', /^HTTP\/1\.1 503 .*camphorbay-run: not-run.*connection: close/is)
+  assert.match(short ?? '', /^HTTP\/1\.1 200 .*one-two-done$/s)
+}, { limits: { stopLimitMs: 2300 }, classes: [{ name: 'write', idempotent: false, deadlineMs: 5000, priority: 1 }] }))
+
 stop('a stop refuses new connections', () => withEntry(slow, async test => {
   await Effect.runPromise(test.entry.stop(performance.now()))
   const caller = openCaller(test.port)
