Relay interim responses only in their turn (review/1, MIXED)

What callers saw: a success with the seal of its target and a body with foreign bytes in it.

Cause: an interim response was written to the caller's socket although an earlier response of the connection was being sent.

Fix: it is relayed only when its request has its turn, and dropped otherwise.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -37,6 +37,7 @@
   readonly earliestIdleSince: (now: number) => number
   /** Undefined until the prefix of the body was read. */
   readonly fingerprint: () => string | undefined
+  readonly hasTurn: () => boolean
   readonly stallTimeoutMs: (now: number) => number | undefined
   readonly canAbortStalled: (target: string) => boolean
   /** Runs after the connection is acquired and before the first byte is sent. */
@@ -89,10 +90,10 @@
   return headers
 }
 
-/** Relays an interim (1xx) response unchanged. */
-function relayInterimResponse ({ exchange }: AttemptContext, status: number, message: string, rawHeaders: readonly string[]): void {
+/** Relays an interim (1xx) response unchanged. It is dropped while earlier responses are due, because it would get into them. */
+function relayInterimResponse ({ exchange, hasTurn }: AttemptContext, status: number, message: string, rawHeaders: readonly string[]): void {
   // The entry handles expectations itself, and HTTP/1.0 has no interim responses.
-  if (status === 100 || exchange.incoming.httpVersion !== '1.1' || exchange.response.headersSent) return
+  if (status === 100 || exchange.incoming.httpVersion !== '1.1' || exchange.response.headersSent || !hasTurn()) return
   const lines = rawHeaders.flatMap((name, index) => index % 2 === 0 ? [`${name}: ${rawHeaders[index + 1] ?? ''}\r\n`] : [])
   exchange.incoming.socket.write(`HTTP/1.1 ${status} ${message}\r\n${lines.join('')}\r\n`, 'latin1')
 }
--- a/src/entry/forward.ts
+++ b/src/entry/forward.ts
@@ -13,6 +13,8 @@
 export interface ForwardPlan extends RoutedRequest {
   /** Run after a connection is acquired and before the first byte is sent to a target. */
   readonly checks: PreSendChecks
+  /** Whether the caller's connection is free for a response to this request, that is, no earlier response is due. */
+  readonly hasTurn: () => boolean
   /** Relays the final response of a target to the caller; false when it was truncated. */
   readonly deliver: (targetResponse: IncomingMessage, outcome: AttemptOutcome, onComplete: () => void) => Effect.Effect<boolean, Refusal>
 }
--- a/src/entry/request-handler.ts
+++ b/src/entry/request-handler.ts
@@ -108,6 +108,7 @@
   const isComplete = yield * forward(context.options, context.pools, {
     ...routed,
     checks,
+    hasTurn: () => context.order.hasTurn(exchange),
     deliver: (targetResponse, attemptOutcome, onComplete) => deliver(context, routed, checks, targetResponse, attemptOutcome, onComplete)
   })
   return isComplete ? 'answered' as const : 'truncated' as const
