Honour what targets announce: that they leave, or that they want a pause

Cause: nothing read Server-Leaving or the Retry-After of a 503, so a target that leaves got requests as long as the store named it ready, and a target that turns requests away got the next one 0.1 to 0.4 s later.

Change: the dialect decodes both headers into an announcement, if the response belongs to its request and comes from the expected process. target-announcements.ts owns the state of one process of a target; targets that leave or paused are no candidates. If none is left, requests are refused at once, also queued ones, with the end of the first pause as Retry-After.

Measured: tables in target-announcements.test.ts and dialect.test.ts; announcements.test.ts plays a leaving target whose entry stays, a service of which all targets leave, and a target that pauses.

--- a/src/edge/instruments.ts
+++ b/src/edge/instruments.ts
@@ -60,7 +60,7 @@
     }))
     metrics.gauge(targetPhases, () => {
       const now = clock()
-      const phases = catalog.listings().map(({ id, draining }) => draining ? 'draining' : loadBalancer.targets.circuitOf(id, now))
+      const phases = catalog.listings().map(listing => listing.draining ? 'draining' : loadBalancer.targets.announcements.stateOf(listing, now) ?? loadBalancer.targets.circuitOf(listing.id, now))
       return [...new Set(phases)].map((phase): Sample => ({ labels: { phase }, value: phases.filter(each => each === phase).length }))
     })
   }
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -176,6 +176,7 @@
     const { result, run, detail } = classification
     // A response to another request shows that the connection is out of sync, so it is not reused.
     if (classification.isCorrelated) received = head
+    if (classification.announcement !== undefined) slot.announce?.(classification.announcement, headReceivedAt)
     if (!classification.isDeliverable) return Effect.succeed(outcomeWithoutResponse(result, run, detail))
     if (context.responseBufferBytes > 0) return bufferResponse(head.targetResponse, classification)
     return Effect.succeed({ result, run, detail, isTimedOut: false, targetResponse: head.targetResponse, buffered: NOTHING_BUFFERED })
--- a/src/entry/dialect.ts
+++ b/src/entry/dialect.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Result as Outcome } from 'neverthrow'
 import type { Refusal, RefusalResponse, RunState } from '../errors/index.js'
-import type { Result, Target } from '../model/index.js'
+import type { Announcement, Result, Target } from '../model/index.js'
 import type { RawHeaders } from './headers.js'
 
 /** Options that a caller sets for its request. */
@@ -46,6 +46,8 @@
   readonly isDeliverable: boolean
   /** Whether the response belongs to the request, so that its connection can be reused. */
   readonly isCorrelated: boolean
+  /** What the target announced about itself; undefined if nothing. */
+  readonly announcement?: Announcement | undefined
 }
 
 /** The HTTP conventions between callers, VMs and targets. Header names in the sets are in lower case. */
--- a/src/entry/forward.ts
+++ b/src/entry/forward.ts
@@ -68,6 +68,8 @@
   const triedTargets = new Set<string>()
   const triedPlaces = new Set<string>()
   let current: Attempt | undefined
+  /** Delay that the refusal of another attempt asks for, in ms. */
+  let retryAfterMs: number | undefined
   let hasRetryToken = false
   /** Number of attempts whose request may have reached a target. */
   let sentCount = 0
@@ -169,14 +171,22 @@
     if (!isRetryAllowed(outcome)) return Effect.succeed(false)
     return Effect.uninterruptibleMask(restore => restore(acquireRetry(outcome)).pipe(Effect.match({
       onSuccess: slot => startRetry(slot, outcome),
-      onFailure: () => false
+      onFailure: refused => {
+        retryAfterMs = refused.retryAfterMs
+        return false
+      }
     })))
   }
 
+  const refuse = (outcome: AttemptOutcome): Refusal => {
+    const refused = refusal(errorKindOf(outcome), outcome.detail, { run: exchange.run() })
+    return { ...refused, retryAfterMs: Math.max(refused.retryAfterMs ?? 0, retryAfterMs ?? 0) }
+  }
+
   const conclude = (outcome: AttemptOutcome): Effect.Effect<boolean, Refusal> => {
     const attempt = current as Attempt
     const { targetResponse } = outcome
-    if (targetResponse === undefined) return Effect.fail(refusal(errorKindOf(outcome), outcome.detail, { run: exchange.run() }))
+    if (targetResponse === undefined) return Effect.fail(refuse(outcome))
     return plan.deliver(targetResponse, outcome, () => attempt.complete(observedResult(outcome))).pipe(
       Effect.tap(isComplete => Effect.sync(() => { if (!isComplete) attempt.complete('truncated') })),
       // A response that waited for earlier ones until the deadline says nothing about its target.
--- a/src/model/traffic.ts
+++ b/src/model/traffic.ts
@@ -30,6 +30,14 @@
   readonly fingerprint: string
 }
 
+/** What a target announces about itself in a response. */
+export interface Announcement {
+  /** Whether its process is about to end, so that it must get no further request. */
+  readonly isLeaving: boolean
+  /** Time for which it wants no requests from this VM, in ms; undefined if it does not say. */
+  readonly pauseMs: number | undefined
+}
+
 /** A request for a slot at a target. */
 export interface SlotRequest {
   readonly service: string
@@ -59,6 +67,8 @@
   readonly target: Target
   /** Releases the slot and records the outcome of the attempt. Only the first call has an effect. */
   readonly release: (observation: Observation | undefined, now: number) => void
+  /** Receives an announcement of the target as soon as the head of its response is read. */
+  readonly announce?: (announcement: Announcement, now: number) => void
 }
 
 /** Grants slots, and queues requests within limits while no suitable target has a free one. */
--- a/src/placing/admission-queue.ts
+++ b/src/placing/admission-queue.ts
@@ -77,3 +77,8 @@
 export function retryAfterMs (waitMs: number, random: () => number): number {
   return Math.round(Math.min(RETRY_AFTER_MAX_MS, Math.max(RETRY_AFTER_MIN_MS, waitMs)) * (1 - RETRY_AFTER_JITTER + RETRY_AFTER_JITTER * 2 * random()))
 }
+
+/** Delay after which to retry a refused request, in ms, if the first target takes requests again in `pauseMs`. The spread avoids that all callers return at that moment. */
+export function retryAfterPauseMs (pauseMs: number, random: () => number): number {
+  return Math.round(pauseMs + RETRY_AFTER_MAX_MS * RETRY_AFTER_JITTER * random())
+}
--- a/src/placing/load-balancer.ts
+++ b/src/placing/load-balancer.ts
@@ -6,7 +6,7 @@
 import type { Admission, Clock, Mesh, Observation, PlacementRequest, Slot, Target } from '../model/index.js'
 import { chooseSuspectTarget, chooseTarget, type Candidate, type Selection } from './choose-target.js'
 import { createRequestHistory, type RequestHistory } from './request-history.js'
-import { expectedWaitMs, precedes, sortByPrecedence, latestStartAt, retryAfterMs, shouldQueue, type QueuedRequest } from './admission-queue.js'
+import { expectedWaitMs, precedes, sortByPrecedence, latestStartAt, retryAfterMs, retryAfterPauseMs, shouldQueue, type QueuedRequest } from './admission-queue.js'
 import { loadReportChannel } from './messages.js'
 import { createRetryBudget, type RetryBudgetLimits, type RetryBudget } from './retry-budget.js'
 import { createLoadReporter, type ReportIntervals } from './load-reporter.js'
@@ -191,6 +191,7 @@
     let isReleased = false
     return {
       target: targetOf(listing, connections),
+      announce: (announcement, at) => targets.announcements.record(listing, announcement, request.requestId, at),
       release: (observation, endedAt) => {
         if (isReleased) return
         isReleased = true
@@ -234,6 +235,19 @@
     entry.refuse(refusal('overloaded', `no slot became free in time; ${reason}`, { retryAfterMs: retryAfterMs(waitMs, random) }))
   }
 
+  /** Refusal for a service of which no target may get the request. If targets paused, callers are to return when the first pause ends. */
+  const refuseWithoutTarget = (service: string, detail: string, now: number): Refusal => {
+    const pauseEndMs = targets.pauseEndMs(service, now)
+    const delayMs = pauseEndMs === undefined ? retryAfterMs(ASSUMED_LATENCY_MS, random) : retryAfterPauseMs(pauseEndMs, random)
+    return refusal('no-target', detail, { retryAfterMs: delayMs })
+  }
+
+  const refuseAllQueued = (service: string, state: ServiceState, now: number): void => {
+    const entries = state.queue
+    state.queue = []
+    for (const { refuse } of entries) refuse(refuseWithoutTarget(service, 'all targets of the service leave or paused', now))
+  }
+
   /** Assigns free slots to queued requests, and refuses those that can no longer be served in time. */
   function serveQueue (service: string, now: number): void {
     const state = services.get(service)
@@ -249,6 +263,7 @@
         entry.deliver(slot)
       } else if (avoid.size === 0) blockedKinds.add(idempotent)
     }
+    if (targets.candidates(service, AVOID_NONE, now).length === 0) return refuseAllQueued(service, state, now)
     for (const entry of state.queue.filter(each => latestStartAt(each) <= now)) refuseQueued(service, state, entry, now)
   }
 
@@ -257,8 +272,8 @@
     state.history.recordRequest(request.idempotent, now)
     const candidates = targets.candidates(request.service, request.avoid, now)
     if (candidates.length === 0) {
-      const detail = request.avoid.size > 0 ? 'every target was tried' : 'the service has no target'
-      return resume(Effect.fail(refusal('no-target', detail, { retryAfterMs: retryAfterMs(ASSUMED_LATENCY_MS, random) })))
+      const detail = request.avoid.size > 0 ? 'every target was tried' : 'the service has no target that takes requests'
+      return resume(Effect.fail(refuseWithoutTarget(request.service, detail, now)))
     }
     const isQueueEmpty = state.queue.length === 0
     const slot = isQueueEmpty ? tryGrant(request, now) : undefined
@@ -309,6 +324,7 @@
     for (const { listing, className, grantedAt } of running) targets.checkOverdue(listing, className, grantedAt, now)
     for (const service of services.keys()) serveQueue(service, now)
     reportLoads(now)
+    targets.announcements.sweep(now)
     if (now - prunedAt < PRUNE_MS) return
     prunedAt = now
     targets.prune()
--- a/src/placing/target-states.ts
+++ b/src/placing/target-states.ts
@@ -4,6 +4,7 @@
 import { hashText } from '../membership/index.js'
 import type { Mesh, Observation } from '../model/index.js'
 import type { Candidate } from './choose-target.js'
+import { createTargetAnnouncements, type TargetAnnouncements } from './target-announcements.js'
 import { createTargetLoads, type TargetLoads } from './target-loads.js'
 import { createLatencies, type Latencies } from './latencies.js'
 import { healthReportChannel, type HealthReport } from './messages.js'
@@ -29,8 +30,12 @@
 export interface TargetStates {
   readonly loads: TargetLoads
   readonly latenciesOf: (service: string) => Latencies
+  readonly announcements: TargetAnnouncements
+  /** Targets that may get requests. */
   readonly candidates: (service: string, avoid: ReadonlySet<string>, now: number) => readonly Candidate[]
   readonly circuitOf: (target: string, now: number) => CircuitState
+  /** Time until the first target of the service that announced a pause may get requests again, in ms; undefined if none paused. */
+  readonly pauseEndMs: (service: string, now: number) => number | undefined
   /** Marks a target as being probed, until `recordOutcome`. */
   readonly beginProbe: (target: string) => void
   /** Records the outcome of a request that got its slot at `grantedAt`. */
@@ -73,6 +78,7 @@
   const addressBreakers = createCircuitBreakers(ADDRESS_OPEN_MS)
   const allBreakers: readonly CircuitBreakers[] = [responseBreakers, pathBreakers, overloadBreakers, addressBreakers]
   const loads = createTargetLoads()
+  const announcements = createTargetAnnouncements(log)
   const latencies = new Map<string, Latencies>()
   const probed = new Set<string>()
   const truncatedAt = new Map<string, number>()
@@ -223,8 +229,14 @@
     loads,
     latenciesOf,
     circuitOf,
-    candidates: (service, avoid, now) =>
-      catalog.usable(service).filter(({ id }) => !avoid.has(id)).map(listing => candidateOf(listing, now)),
+    announcements,
+    candidates: (service, avoid, now) => catalog.usable(service)
+      .filter(listing => !avoid.has(listing.id) && announcements.stateOf(listing, now) === undefined)
+      .map(listing => candidateOf(listing, now)),
+    pauseEndMs: (service, now) => {
+      const pauses = catalog.usable(service).map(listing => announcements.remainingMs(listing, now)).filter(ms => ms > 0 && ms < Infinity)
+      return pauses.length > 0 ? Math.min(...pauses) : undefined
+    },
     beginProbe: target => { probed.add(target) },
     recordOutcome: (listing, observation, grantedAt, now) => {
       probed.delete(listing.id)
