Discard a connection whose response was not read

Cause: when a caller left while the end of a response above 64 KB waited for it, the response was complete but not read; Node.js does not report such a connection as closed, so it was neither pooled nor closed until the target closed it (named by the review, by reading).

Fix: only a connection whose response was read goes back to the pool.

Evidence: the new case in pipelining.test.ts failed before (one connection stayed open for 5 s) and passes now.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -98,9 +98,10 @@
   exchange.incoming.socket.write(`HTTP/1.1 ${status} ${message}\r\n${lines.join('')}\r\n`, 'latin1')
 }
 
-/** Returns the connection to the pool if request and response are complete and it can be kept alive, otherwise discards it. */
+/** Returns the connection to the pool if the request was sent, the response was read, and it can be kept alive; otherwise discards it. */
 function keepConnection ({ pools, clock }: AttemptContext, connection: Connection, { targetResponse, outgoing }: ReceivedResponse): void {
-  if (!targetResponse.complete || !outgoing.writableFinished || !outgoing.shouldKeepAlive) return pools.discard(connection)
+  const isRead = targetResponse.complete && targetResponse.readableEnded
+  if (!isRead || !outgoing.writableFinished || !outgoing.shouldKeepAlive) return pools.discard(connection)
   const keepAliveMs = parseKeepAliveMs(targetResponse.headers['keep-alive'])
   // Node.js detaches from the connection before the 'close' event, which may come after the response was read.
   if (outgoing.closed) return pools.release(connection, clock(), keepAliveMs)
--- a/src/entry/pipelining.test.ts
+++ b/src/entry/pipelining.test.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { openCaller, pause, startRawTarget, withTargets } from './fakes.fixture.js'
+import { eventually, openCaller, pause, startRawTarget, withTargets } from './fakes.fixture.js'
 
 const test = suite('pipelining')
 
@@ -77,4 +77,21 @@
   }, { overrides: { responseBufferBytes: BUFFER_BYTES } }))
 }
 
+/** Slightly more than is buffered, so that the rest arrives but is not read. */
+const TAIL_BYTES = BUFFER_BYTES + 8000
+
+// Guards against connections to targets that are neither reused nor closed.
+test('a caller that leaves while the end of a large response waits for its turn leaves no open connection', () => withTargets([startRawTarget(socket => {
+  socket.on('data', (chunk: Buffer) => {
+    if (chunk.toString('latin1').startsWith('GET /read/tail')) socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${TAIL_BYTES}\r\n\r\n${'T'.repeat(TAIL_BYTES)}`)
+  })
+})], async ({ port, entry }) => {
+  const caller = openCaller(port)
+  caller.write(requestOf('/read/never') + requestOf('/read/tail'))
+  await eventually(() => entry.state().targetConnections === 2, 'both requests are at the target')
+  await pause(PART_MS)
+  caller.socket.destroy()
+  await eventually(() => entry.state().targetConnections === 0, 'both connections are closed')
+}, { overrides: { responseBufferBytes: BUFFER_BYTES } }))
+
 test.run()
