--- a/measure/requests/outcome.test.ts
+++ b/measure/requests/outcome.test.ts
@@ -8,7 +8,7 @@
 
 const answered: AttemptResult = { kind: 'answered' }
 const wrong: AttemptResult = { kind: 'wrong', why: 'another token' }
-const refused: AttemptResult = { kind: 'refused', reason: 'overloaded', run: 'not-run', retryAfterMs: 100, addresses: undefined }
+const refused: AttemptResult = { kind: 'refused', reason: 'overloaded', run: 'not-run', detail: '', retryAfterMs: 100, addresses: undefined }
 const failed = (status: number): AttemptResult => ({ kind: 'failed', status, run: 'may-have-run' })
 
 function createRecord (outcome: AttemptResult, fields: Partial<RequestRecord> = {}): RequestRecord {
--- a/stand-ins/caller/attempt.ts
+++ b/stand-ins/caller/attempt.ts
@@ -11,7 +11,7 @@
   /** The complete and correct response. */
   | { readonly kind: 'answered' }
   /** A refusal by the fleet. */
-  | { readonly kind: 'refused', readonly reason: string, readonly run: RunState, readonly retryAfterMs: number | undefined, readonly addresses: unknown }
+  | { readonly kind: 'refused', readonly reason: string, readonly run: RunState, readonly detail: string, readonly retryAfterMs: number | undefined, readonly addresses: unknown }
   /** An error response of a target. */
   | { readonly kind: 'failed', readonly status: number, readonly run: RunState }
   /** No complete response. */
@@ -62,8 +62,8 @@
 
 function parseRefusal (reason: string, run: RunState, { prefix }: ReceivedResponse): AttemptResult {
   try {
-    const body = JSON.parse(prefix.toString()) as { readonly retryAfterMs?: number, readonly addresses?: unknown }
-    return { kind: 'refused', reason, run, retryAfterMs: body.retryAfterMs, addresses: body.addresses }
+    const body = JSON.parse(prefix.toString()) as { readonly detail?: string, readonly retryAfterMs?: number, readonly addresses?: unknown }
+    return { kind: 'refused', reason, run, detail: body.detail ?? '', retryAfterMs: body.retryAfterMs, addresses: body.addresses }
   } catch {
     return { kind: 'wrong', why: `the body of the refusal ${reason} is not valid JSON` }
   }
--- a/tests/support/process-fleet.ts
+++ b/tests/support/process-fleet.ts
@@ -132,6 +132,17 @@
   }).filter(text => text !== 'answered' && !(outcome.hasStalled && STALL_OUTCOMES.has(text)))
 }
 
+/** Returns the details of the refusals of one kind of requests, each with its count, for the message of a failed assertion. */
+export function refusalDetails (outcome: Outcome, isIdempotent: boolean): string {
+  const counts = new Map<string, number>()
+  for (const { idempotent, outcome: result } of outcome.reports.flatMap(report => report.requests)) {
+    if (idempotent !== isIdempotent || result.kind !== 'refused') continue
+    const text = `${result.reason}: ${result.detail}`
+    counts.set(text, (counts.get(text) ?? 0) + 1)
+  }
+  return [...counts].map(([text, count]) => `${count} x ${text}`).join('; ')
+}
+
 /** Asserts the guarantees that hold under every fault. */
 export function assertGuarantees (outcome: Outcome): void {
   assert.equal(outcome.doubleRuns, [], 'double runs')
