--- a/review/support-2/case.mjs
+++ b/review/support-2/case.mjs
@@ -20,9 +20,14 @@
   const note = text => lines.push(`${((performance.now() - startedAt) / 1000).toFixed(3).padStart(8)} ${text}`)
   let exitCode = 2
   const limit = new Promise((resolve, reject) => setTimeout(() => reject(new Error('the case took too long')), LIMIT_MS).unref())
+  // An error of a stand-in is no verdict on the rule.
+  const broken = new Promise((resolve, reject) => {
+    process.on('uncaughtException', reject).on('unhandledRejection', reject)
+    for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => reject(new Error(`the case got ${signal}`)))
+  })
   note(`disruption: ${hasTrouble ? 'yes' : 'no'}`)
   try {
-    const isBroken = await Promise.race([play({ note, cleanUp: action => cleanUps.push(action) }), limit])
+    const isBroken = await Promise.race([play({ note, cleanUp: action => cleanUps.push(action) }), limit, broken])
     note(isBroken ? 'RULE BROKEN' : 'the rule held')
     exitCode = isBroken ? 1 : 0
   } catch (error) {
--- a/review/support-2/fleet.mjs
+++ b/review/support-2/fleet.mjs
@@ -154,7 +154,7 @@
       process: undefined,
       start: () => {
         machine.exit = undefined
-        const child = spawn(program, parameters, { cwd: ROOT, env: { PATH: process.env.PATH, HOME: folder, CAMPHORBAY_NODE_FILE: file }, stdio: ['ignore', logTo === 'ignore' ? 'ignore' : 'pipe', process.env.STDERR === '1' ? 'inherit' : 'ignore'] })
+        const child = spawn(program, parameters, { cwd: ROOT, env: { PATH: process.env.PATH, HOME: folder, CAMPHORBAY_NODE_FILE: file }, stdio: ['ignore', logTo === 'ignore' ? 'ignore' : 'pipe', 'ignore'] })
         machine.process = child
         machine.exited = new Promise(resolve => child.once('exit', (code, signal) => {
           machine.exit = { code, signal, at: performance.now() }
