Log the requests that a closed connection leaves without a response

Until now, such a request ended as request.cancelled, like one whose caller left, so that the logs could not tell a refusal that closes, the time limit of the stop, a reset, a truncated response and a caller that left apart.

The line connection.unanswered states why the VM ended the connection, and which forwarded requests it leaves.

--- a/src/entry/caller-output.ts
+++ b/src/entry/caller-output.ts
@@ -13,6 +13,17 @@
   readonly rawHeaders: readonly string[]
 }
 
+/** Why a connection ended. */
+export type EndReason =
+  | 'caller-left'   // the caller closed or reset it
+  | 'announced'     // after a response that announced the close
+  | 'refused'       // after the refusal of bytes that are no request
+  | 'truncated'     // the rest of a response that was begun is missing
+  | 'idle'          // no request was pending
+  | 'too-slow'      // the caller neither read nor sent
+  | 'cut-off'       // the time limit of the stop was reached
+  | 'defect'        // an unexpected error
+
 /** The only owner of the writing side of a caller's connection, and of its end. */
 export interface CallerOutput {
   /** Relays an interim response unchanged. It is dropped while earlier responses are due, because it would get into them. */
@@ -22,9 +33,11 @@
   /** Half-closes the connection after what was written; the caller's remaining bytes are still read. */
   readonly end: () => void
   /** Closes the connection when the caller has received what was written. */
-  readonly close: () => void
+  readonly close: (reason: EndReason) => void
   /** Destroys the connection, so that an incomplete response does not look complete. */
-  readonly destroy: () => void
+  readonly destroy: (reason: EndReason) => void
+  /** Why the connection ended; the first reason counts. */
+  readonly endReason: () => EndReason
   /** Whether nothing more can be written. */
   readonly hasEnded: () => boolean
 }
@@ -37,9 +50,13 @@
  * output.sendInterim(exchange, { status: 103, message: 'Early Hints', rawHeaders: ['Link', '</style.css>'] })
  */
 export function createCallerOutput (socket: Socket, order: ResponseOrder): CallerOutput {
-  const close = (): void => closeLingering(socket)
+  let endReason: EndReason | undefined
+  const close = (reason: EndReason): void => {
+    endReason ??= reason
+    closeLingering(socket)
+  }
   // Node.js calls this after the last response.
-  socket.destroySoon = close
+  socket.destroySoon = () => close('announced')
   return {
     sendInterim: (exchange, { status, message, rawHeaders }) => {
       // The entry handles expectations itself, and HTTP/1.0 has no interim responses.
@@ -48,10 +65,17 @@
       const lines = rawHeaders.flatMap((name, index) => index % 2 === 0 ? [`${name}: ${rawHeaders[index + 1] ?? ''}\r\n`] : [])
       socket.write(`HTTP/1.1 ${status} ${message}\r\n${lines.join('')}\r\n`, 'latin1')
     },
-    refuse: refused => sendRawRefusal(socket, refused),
+    refuse: refused => {
+      endReason ??= 'refused'
+      sendRawRefusal(socket, refused)
+    },
     end: () => { socket.end() },
     close,
-    destroy: () => { socket.destroy() },
+    destroy: reason => {
+      endReason ??= reason
+      socket.destroy()
+    },
+    endReason: () => endReason ?? 'caller-left',
     hasEnded: () => socket.writableEnded
   }
 }
--- a/src/entry/connection.ts
+++ b/src/entry/connection.ts
@@ -35,6 +35,9 @@
 /** Timeout for the response to an aborted request, in ms. Longer than the linger timeout of a refusal. */
 const ABORT_TIMEOUT_MS = 2000
 
+/** Maximum number of request ids in a log line. */
+const MAX_LOGGED_IDS = 8
+
 /** Time at which a request last made progress. */
 interface Progress {
   /** Bytes read and written on the connection at that time. */
@@ -102,7 +105,7 @@
     Effect.catchDefect(onDefect),
     Effect.onExit(() => Effect.sync(() => {
       // A truncated response must never look complete to the caller.
-      if (finished.ending !== 'answered' && finished.ending !== 'refused') exchange.output.destroy()
+      if (finished.ending !== 'answered' && finished.ending !== 'refused') exchange.output.destroy(finished.ending === 'truncated' ? 'truncated' : 'caller-left')
       reportFinished(context, exchange, finished)
     }))
   )
@@ -198,6 +201,16 @@
     exchange.incoming.resume()
   }
 
+  /** Logs the requests that get no response because the VM ended the connection. */
+  const reportUnanswered = (): void => {
+    const unanswered = order.pending()
+    if (unanswered.length === 0 || output.endReason() === 'caller-left') return
+    const forwarded = unanswered.filter(({ attempts }) => attempts() > 0).map(({ id }) => id)
+    options.log.warn('connection.unanswered', {
+      reason: output.endReason(), requests: unanswered.length, forwarded: forwarded.length, requestIds: forwarded.slice(0, MAX_LOGGED_IDS)
+    })
+  }
+
   const finishExchange = (exchange: Exchange): void => {
     active.delete(exchange)
     order.remove(exchange)
@@ -215,11 +228,12 @@
   fiber.addObserver(exit => {
     if (Exit.isFailure(exit) && !Cause.hasInterruptsOnly(exit.cause)) {
       options.log.error('connection.defect', { detail: Cause.pretty(exit.cause) })
-      output.destroy()
+      output.destroy('defect')
     }
   })
 
   socket.on('close', () => {
+    reportUnanswered()
     Effect.runFork(Fiber.interrupt(fiber))
     onClose()
   })
@@ -245,7 +259,7 @@
         return
       }
       // Not even the response to the aborted request makes progress: the caller neither reads it nor ends its request.
-      if (now - abortedAt >= ABORT_TIMEOUT_MS) output.destroy()
+      if (now - abortedAt >= ABORT_TIMEOUT_MS) output.destroy('too-slow')
       return
     }
     if (now - exchange.arrivedAt >= limits.requestLimitMs) {
@@ -293,7 +307,7 @@
       for (const [exchange, progress] of [...active]) checkExchange(exchange, progress, now)
       if (!isQuiet()) return
       const status = idle.status(now)
-      if (status === 'idle') output.destroy()
+      if (status === 'idle') output.destroy('idle')
       if (status === 'late') fail(refusal('caller-too-slow', `the head did not arrive within ${limits.headerTimeMs} ms`))
     },
     closeIfIdle: now => {
@@ -302,8 +316,8 @@
       bytesAtLastCheck = socket.bytesRead
       // The caller may still read the last response, which a reset by its next request would cut off. That request is
       // ignored, so its caller may send it again whatever it is.
-      if (isUnchanged && !idle.isPartial()) return output.close()
-      if (idle.status(now) === 'late') output.destroy()
+      if (isUnchanged && !idle.isPartial()) return output.close('idle')
+      if (idle.status(now) === 'late') output.destroy('too-slow')
     },
     inFlight: order.size
   }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -115,7 +115,7 @@
     if (isIgnorableParseError(error)) return
     const connection = connections.get(socket)
     if (connection === undefined) socket.destroy()
-    else if (isDisconnectError(error) || !socket.writable) connection.output.destroy()
+    else if (isDisconnectError(error) || !socket.writable) connection.output.destroy('caller-left')
     else connection.fail(refuseParseError(error))
   })
 
@@ -161,7 +161,7 @@
 
   const destroyRemaining = (): void => {
     if (connections.size > 0) log.warn('callers.cut-off', { connections: connections.size })
-    for (const { output } of connections.values()) output.destroy()
+    for (const { output } of connections.values()) output.destroy('cut-off')
   }
 
   /**
--- a/src/entry/respond.ts
+++ b/src/entry/respond.ts
@@ -82,12 +82,12 @@
   // Half-closes the connection: the caller receives the complete response while its remaining bytes are still read.
   exchange.output.end()
   yield * drain(exchange, LINGER_TIMEOUT_MS)
-  exchange.output.close()
+  exchange.output.close('announced')
 })
 
 /** Responds with a refusal, or destroys the connection when a response was started. */
 export function sendRefusal (exchange: Exchange, dialect: Dialect, order: ResponseOrder, refused: Refusal): Effect.Effect<void> {
-  if (exchange.response.headersSent) return Effect.sync(exchange.output.destroy)
+  if (exchange.response.headersSent) return Effect.sync(() => exchange.output.destroy('truncated'))
   const { status, headers, body, close } = dialect.refusalResponse(refused, exchange.id)
   const { connection, ...otherHeaders } = headers
   return sendBuffered(exchange, order, { status, headers: headersFromRecord(otherHeaders), body, close: close || connection !== undefined })
--- a/src/entry/response-order.ts
+++ b/src/entry/response-order.ts
@@ -30,6 +30,8 @@
   readonly closesAfter: (exchange: Exchange, mustClose: boolean) => boolean
   /** Whether a further request may be begun. */
   readonly hasRoom: () => boolean
+  /** The requests without a complete response, in their order. */
+  readonly pending: () => readonly Exchange[]
   /** Number of requests without a complete response. */
   readonly size: () => number
 }
@@ -78,6 +80,7 @@
       return isClosing
     },
     hasRoom: () => pending.length < MAX_PIPELINED,
+    pending: () => [...pending],
     size: () => pending.length
   }
 }
