Send the responses behind a refusal that closes the connection

Cause: closesAfter announced the close with the response that asked for it, whatever was pending behind it. The refusal of an unexpected error closed connections in the same way.

Now such a response only ends the acceptance of further requests; the last pending response announces the close, as in a stop without refusals. Requests are parsed in order, so nothing can be pending behind a request whose body was not read.

--- a/src/entry/response-order.ts
+++ b/src/entry/response-order.ts
@@ -24,10 +24,10 @@
   readonly remove: (exchange: Exchange) => void
   /**
    * Decides whether the connection closes after the response to this request, whose head is about to be written.
-   * `mustClose`: it closes in any case, for example because the rest of the request cannot be read. Once the head
-   * announces the close, no further request is added.
+   * Requests behind it may have run, so their responses are still sent: the connection closes after the last of them.
+   * `wantsClose`: no further request is added, for example because the rest of this one cannot be read.
    */
-  readonly closesAfter: (exchange: Exchange, mustClose: boolean) => boolean
+  readonly closesAfter: (exchange: Exchange, wantsClose: boolean) => boolean
   /** Whether a further request may be begun. */
   readonly hasRoom: () => boolean
   /** The requests without a complete response, in their order. */
@@ -75,9 +75,10 @@
       waiting.get(next)?.()
       waiting.delete(next)
     },
-    closesAfter: (exchange, mustClose) => {
-      isClosing ||= mustClose || (isEnding() && exchange === pending.at(-1))
-      return isClosing
+    closesAfter: (exchange, wantsClose) => {
+      const isLast = exchange === pending.at(-1)
+      isClosing ||= wantsClose || (isEnding() && isLast)
+      return isClosing && isLast
     },
     hasRoom: () => pending.length < MAX_PIPELINED,
     pending: () => [...pending],
