Forward no request behind one whose head is refused

Callers that pipeline behind a request with an invalid head (no Host, an invalid deadline, an unsupported expectation, a header that resembles Transfer-Encoding) lost requests: the refusal closes the connection, but the requests behind it were forwarded, and behind an ambiguous framing a target could be made to run bytes that the caller meant as a body.

Cause: the head was checked when its request was begun, after the requests behind it had been accepted.

Now the head is parsed when it arrives, and a refused one is the last request of its connection. The requests behind it are ignored and logged as such, so their callers may send them again whatever they are.

src/entry/closing-responses.test.ts: six cases, all failed before ('/read/1' and '/read/2' were forwarded).

--- a/src/entry/closing-responses.test.ts
+++ b/src/entry/closing-responses.test.ts
@@ -41,7 +41,14 @@
 const cases: readonly Case[] = [
   // Guards against a stop whose refusal of a queued request discards the responses to requests that targets ran.
   { name: 'a queued request that a stop refuses', first: get('/queued/0'), stops: true, status: 503, isForwardedBehind: true },
-  { name: 'an unexpected error', first: get('/broken/0'), status: 500, isForwardedBehind: true }
+  { name: 'an unexpected error', first: get('/broken/0'), status: 500, isForwardedBehind: true },
+  // Guards against a target that runs requests behind one whose head is refused.
+  { name: 'a request without Host', first: get('/read/0', ''), status: 400, isForwardedBehind: false },
+  { name: 'an unsupported expectation', first: get('/read/0', 'Host: x\r\nExpect: luck\r\n'), status: 400, isForwardedBehind: false },
+  { name: 'an upgrade', first: get('/read/0', 'Host: x\r\nUpgrade: other\r\n'), status: 400, isForwardedBehind: false },
+  { name: 'two idempotency keys', first: get('/read/0', 'Host: x\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\n'), status: 400, isForwardedBehind: false },
+  { name: 'an invalid deadline', first: get('/read/0', 'Host: x\r\nCamphorbay-Deadline-Ms: soon\r\n'), status: 400, isForwardedBehind: false },
+  { name: 'a header that resembles Transfer-Encoding', first: get('/read/0', 'Host: x\r\nTransfer_Encoding: chunked\r\n'), status: 400, isForwardedBehind: false }
 ]
 
 const respond: RequestListener = (incoming, response) => {
--- a/src/entry/connection.ts
+++ b/src/entry/connection.ts
@@ -299,7 +299,7 @@
       acceptedCount++
       checkLines()
       if (failure !== undefined) return
-      if (output.hasEnded() || !order.add(exchange)) return ignore(exchange)
+      if (output.hasEnded() || !order.add(exchange, exchange.request.isErr())) return ignore(exchange)
       Queue.offerUnsafe(queue, exchange)
     },
     fail,
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -11,6 +11,7 @@
 import type { EntryOptions } from './options.js'
 import { createBodyMemory, NO_BODY_MEMORY } from './body-memory.js'
 import { createPools } from './pool.js'
+import { parseRequest } from './request.js'
 import { sendRawRefusal } from './raw-refusal.js'
 import { closeIntervalMs, type Shutdown } from './shutdown.js'
 
@@ -102,7 +103,8 @@
     const connection = connections.get(incoming.socket)
     if (connection === undefined) return
     const id = dialect.requestId(incoming.rawHeaders)
-    connection.accept(createExchange(id, dialect.caller(incoming), incoming, response, connection.output, expectsContinue, clock()))
+    const request = parseRequest(incoming, limits.bodyBytes, dialect)
+    connection.accept(createExchange(id, dialect.caller(incoming), incoming, request, response, connection.output, expectsContinue, clock()))
   }
   http.on('request', accept(false))
   http.on('checkContinue', accept(true))
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -1,8 +1,10 @@
 /** The state of one request of a caller and its response. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Result as Outcome } from 'neverthrow'
 import type { Refusal, RunState } from '../errors/index.js'
 import type { ResolvedRoute } from '../model/index.js'
 import type { CallerOutput } from './caller-output.js'
+import type { ParsedRequest } from './request.js'
 
 /** The party whose bytes an exchange waits for; undefined while it waits inside the VM or for its deadline. */
 export type AwaitedParty = 'caller' | 'target' | undefined
@@ -11,6 +13,8 @@
 export interface Exchange {
   readonly id: string
   readonly incoming: IncomingMessage
+  /** The parsed head, or its refusal. */
+  readonly request: Outcome<ParsedRequest, Refusal>
   readonly response: ServerResponse
   /** The output of the connection that the request arrived on. */
   readonly output: CallerOutput
@@ -53,6 +57,7 @@
   id: string,
   callerKey: string,
   incoming: IncomingMessage,
+  request: Outcome<ParsedRequest, Refusal>,
   response: ServerResponse,
   output: CallerOutput,
   expectsContinue: boolean,
@@ -70,6 +75,7 @@
   return {
     id,
     incoming,
+    request,
     response,
     output,
     callerKey,
--- a/src/entry/request-handler.ts
+++ b/src/entry/request-handler.ts
@@ -19,7 +19,7 @@
 import type { EntryOptions, Ending } from './options.js'
 import type { Pools } from './pool.js'
 import type { ResponseOrder } from './response-order.js'
-import { parseRequest, type ParsedRequest } from './request.js'
+import type { ParsedRequest } from './request.js'
 import type { Shutdown } from './shutdown.js'
 
 /** The VM itself serves the paths below this prefix. */
@@ -143,9 +143,9 @@
  */
 export const handleRequest: (context: HandlerContext, exchange: Exchange) => Effect.Effect<Ending, Refusal> =
   Effect.fnUntraced(function * (context: HandlerContext, exchange: Exchange) {
-    const { options, dialect } = context
+    const { options } = context
     const { bodyBytes } = options.limits
-    const request = yield * fromResult(parseRequest(exchange.incoming, bodyBytes, dialect))
+    const request = yield * fromResult(exchange.request)
     if (options.resolveAddresses !== undefined && request.path.startsWith(BUILT_IN_PREFIX)) return yield * serveBuiltInPath(context, exchange, request)
     const route = yield * fromResult(options.resolve(request.host, request.path, request.method))
     exchange.setRoute(route)
--- a/src/entry/response-order.ts
+++ b/src/entry/response-order.ts
@@ -15,8 +15,10 @@
   /**
    * Adds a request that has arrived. Returns false, without adding it, if the connection closes after the response
    * to an earlier request; the caller then counts the request as not received.
+   *
+   * @param isLast whether the connection closes after the response to this request
    */
-  readonly add: (exchange: Exchange) => boolean
+  readonly add: (exchange: Exchange, isLast: boolean) => boolean
   /** Waits until the responses to all earlier requests were sent. Only then may anything be written for this request. */
   readonly awaitTurn: (exchange: Exchange) => Effect.Effect<void>
   readonly hasTurn: (exchange: Exchange) => boolean
@@ -45,7 +47,7 @@
  *
  * @example
  * const order = createResponseOrder(() => isStopping)
- * if (order.add(exchange)) serve(exchange)
+ * if (order.add(exchange, false)) serve(exchange)
  * yield* order.awaitTurn(exchange)
  * exchange.response.end('...')
  */
@@ -56,8 +58,9 @@
   const canAnnounceClose = (): boolean => pending.some(({ response }) => !response.headersSent)
   const hasTurn = (exchange: Exchange): boolean => pending[0] === exchange
   return {
-    add: exchange => {
+    add: (exchange, isLast) => {
       if (isClosing || (isEnding() && canAnnounceClose())) return false
+      isClosing = isLast
       pending.push(exchange)
       return true
     },
