Close connections of HTTP/1.0 after each response

A caller that pipelines over HTTP/1.0 with keep-alive lost requests that had been forwarded: a response without a length ends such a connection, and the responses to the requests behind it were discarded. Found while looking for responses that close with forwarded requests behind them; the users' pages name HTTP/1.1 only.

Now an HTTP/1.0 request is the last of its connection, and the ones behind it are ignored. A first try that served them one after the other still forwarded one: the next request was begun before the connection had ended.

src/entry/closing-responses.test.ts, 'a response of unknown length to HTTP/1.0': failed before (both requests behind were forwarded).

--- a/src/entry/closing-responses.test.ts
+++ b/src/entry/closing-responses.test.ts
@@ -48,7 +48,10 @@
   { name: 'an upgrade', first: get('/read/0', 'Host: x\r\nUpgrade: other\r\n'), status: 400, isForwardedBehind: false },
   { name: 'two idempotency keys', first: get('/read/0', 'Host: x\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\n'), status: 400, isForwardedBehind: false },
   { name: 'an invalid deadline', first: get('/read/0', 'Host: x\r\nCamphorbay-Deadline-Ms: soon\r\n'), status: 400, isForwardedBehind: false },
-  { name: 'a header that resembles Transfer-Encoding', first: get('/read/0', 'Host: x\r\nTransfer_Encoding: chunked\r\n'), status: 400, isForwardedBehind: false }
+  { name: 'a header that resembles Transfer-Encoding', first: get('/read/0', 'Host: x\r\nTransfer_Encoding: chunked\r\n'), status: 400, isForwardedBehind: false },
+  // Guards against a response without length, which ends an HTTP/1.0 connection.
+  { name: 'a response of unknown length to HTTP/1.0', first: get('/read/chunked', 'Host: x\r\nConnection: keep-alive\r\n', '1.0'), status: 200, isForwardedBehind: false },
+  { name: 'a response of known length to HTTP/1.0', first: get('/read/0', 'Host: x\r\nConnection: keep-alive\r\n', '1.0'), status: 200, isForwardedBehind: false }
 ]
 
 const respond: RequestListener = (incoming, response) => {
--- a/src/entry/connection.ts
+++ b/src/entry/connection.ts
@@ -142,6 +142,14 @@
   return length === '0' && encoding === undefined
 }
 
+/**
+ * Whether the connection closes after the response to this request. A response of unknown length ends an HTTP/1.0
+ * connection, and whether it has a length is known only when requests behind it would have been forwarded.
+ */
+function isLastRequest ({ request, incoming }: Exchange): boolean {
+  return request.isErr() || incoming.httpVersion !== '1.1'
+}
+
 /**
  * Serves the requests of one connection. Pipelined requests without a body run concurrently, and their responses
  * wait for their turn; a request with a body waits for the earlier ones.
@@ -299,7 +307,7 @@
       acceptedCount++
       checkLines()
       if (failure !== undefined) return
-      if (output.hasEnded() || !order.add(exchange, exchange.request.isErr())) return ignore(exchange)
+      if (output.hasEnded() || !order.add(exchange, isLastRequest(exchange))) return ignore(exchange)
       Queue.offerUnsafe(queue, exchange)
     },
     fail,
