Release responses that wait for another one before a stop ends

At the time limit of a stop, connections are cut off. Requests behind one whose target was still at work lost their responses then, although targets had sent them long before.

Now, in the last 250 ms at most (a 25th of a short shutdown, so that it is within the last sixth of the grace period), the first pending request is refused, with its run state, if others wait behind it. A request without others behind it is left to its target until the end.

--- a/src/entry/closing-responses.test.ts
+++ b/src/entry/closing-responses.test.ts
@@ -42,6 +42,8 @@
   // Guards against a stop whose refusal of a queued request discards the responses to requests that targets ran.
   { name: 'a queued request that a stop refuses', first: get('/queued/0'), stops: true, status: 503, isForwardedBehind: true },
   { name: 'an unexpected error', first: get('/broken/0'), status: 500, isForwardedBehind: true },
+  // Guards against a stop that discards responses because the one ahead of them is not ready at its end.
+  { name: 'a request whose target is at work when the stop ends', first: get('/read/never'), stops: true, status: 504, isForwardedBehind: true },
   // Guards against a target that runs requests behind one whose head is refused.
   { name: 'a request without Host', first: get('/read/0', ''), status: 400, isForwardedBehind: false },
   { name: 'an unsupported expectation', first: get('/read/0', 'Host: x\r\nExpect: luck\r\n'), status: 400, isForwardedBehind: false },
@@ -55,6 +57,7 @@
 ]
 
 const respond: RequestListener = (incoming, response) => {
+  if (incoming.url === '/read/never') return
   const body = `<${incoming.url}>`
   incoming.resume().on('end', () => {
     if (incoming.url !== '/read/chunked') response.setHeader('Content-Length', body.length)
--- a/src/entry/connection.ts
+++ b/src/entry/connection.ts
@@ -28,6 +28,11 @@
   readonly check: (now: number) => void
   /** Closes the connection when no request is pending and nothing arrived since the last call. */
   readonly closeIfIdle: (now: number) => void
+  /**
+   * Refuses the first pending request if others are pending behind it, and it had its turn since the last call without
+   * a response: the connection is about to be cut off, and their responses may be ready.
+   */
+  readonly releaseResponses: (now: number) => void
   /** Number of requests without a complete response. */
   readonly inFlight: () => number
 }
@@ -197,6 +202,7 @@
   const active = new Map<Exchange, Progress>()
   const context: HandlerContext = { options, dialect, pools, order, bodyMemory, shutdown }
   let bytesAtLastCheck = -1
+  let firstAtLastRelease: Exchange | undefined
 
   const refuse = (refused: Refusal): void => {
     options.log.info('connection.refused', { kind: refused.kind, detail: refused.detail })
@@ -327,6 +333,14 @@
       if (isUnchanged && !idle.isPartial()) return output.close('idle')
       if (idle.status(now) === 'late') output.destroy('too-slow')
     },
+    releaseResponses: now => {
+      const [first, ...behind] = order.pending()
+      const isWaiting = first !== undefined && first === firstAtLastRelease && !first.response.headersSent
+      firstAtLastRelease = first
+      if (!isWaiting || behind.length === 0) return
+      const kind = first.run() === 'not-run' ? 'stopping' : 'deadline-exceeded'
+      abort(first, kind, 'the VM ends, and responses to later requests wait for this one', 'caller', now)
+    },
     inFlight: order.size
   }
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -13,7 +13,7 @@
 import { createPools } from './pool.js'
 import { parseRequest } from './request.js'
 import { sendRawRefusal } from './raw-refusal.js'
-import { closeIntervalMs, type Shutdown } from './shutdown.js'
+import { closeIntervalMs, isReleasing, type Shutdown } from './shutdown.js'
 
 /** State of the entry, as shown to operators. */
 export interface EntryState {
@@ -161,6 +161,10 @@
     for (const connection of connections.values()) connection.closeIfIdle(now)
   }
 
+  const releaseResponses = (now: number): void => {
+    for (const connection of connections.values()) connection.releaseResponses(now)
+  }
+
   const destroyRemaining = (): void => {
     if (connections.size > 0) log.warn('callers.cut-off', { connections: connections.size })
     for (const { output } of connections.values()) output.destroy('cut-off')
@@ -190,6 +194,7 @@
     log.info('callers.stopping', { connections: connections.size })
     while (connections.size > 0 && clock() < current.endsAt) {
       closeIdle(clock())
+      if (isReleasing(current, clock())) releaseResponses(clock())
       yield * Effect.sleep(closeIntervalMs(current, clock()))
       yield * afterPollPhase
     }
--- a/src/entry/shutdown.test.ts
+++ b/src/entry/shutdown.test.ts
@@ -1,7 +1,7 @@
 /** Which requests a stopping VM forwards. */
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { closeIntervalMs, refuseLate, type Shutdown } from './shutdown.js'
+import { closeIntervalMs, isReleasing, refuseLate, type Shutdown } from './shutdown.js'
 
 const test = suite('shutdown')
 
@@ -34,7 +34,9 @@
 const intervals: ReadonlyArray<readonly [name: string, now: number, intervalMs: number]> = [
   ['the shutdown has just begun', 1000, 50],
   // Guards against connections that are cut off later than at the end, which leaves the process no time to exit.
+  ['responses are released', 3900, 10],
   ['the shutdown is almost over', 3990, 10],
+  ['the shutdown ends in less than the interval', 3995, 5],
   ['the shutdown is over', 4100, 0]
 ]
 
@@ -42,4 +44,17 @@
   test(`idle connections are closed again in ${intervalMs} ms: ${name}`, () => assert.is(closeIntervalMs(SHUTDOWN, now), intervalMs))
 }
 
+const releases: ReadonlyArray<readonly [name: string, shutdown: Shutdown, now: number, isExpected: boolean]> = [
+  ['before the last 25th', SHUTDOWN, 3879, false],
+  ['in the last 25th', SHUTDOWN, 3880, true],
+  // Guards against requests that are refused before the last sixth of a short grace period.
+  ['a grace period of 2 s, at five sixths of it', { requestedAt: 0, startedAt: 900, endsAt: 1750 }, 1667, false],
+  ['a long shutdown, before the last 250 ms', HOUR, HOUR.endsAt - 251, false],
+  ['a long shutdown, in the last 250 ms', HOUR, HOUR.endsAt - 250, true]
+]
+
+for (const [name, shutdown, now, isExpected] of releases) {
+  test(`responses are ${isExpected ? '' : 'not '}released: ${name}`, () => assert.is(isReleasing(shutdown, now), isExpected))
+}
+
 test.run()
--- a/src/entry/shutdown.ts
+++ b/src/entry/shutdown.ts
@@ -23,6 +23,13 @@
  */
 const CLOSE_INTERVAL_MS = 50
 
+/** Part of a shutdown at its end in which responses no longer wait for the ones ahead of them. */
+const RELEASE_FRACTION = 1 / 25
+/** Longest duration of that part, in ms. */
+const MAX_RELEASE_MS = 250
+/** Interval at which the next response is released, in ms. */
+const RELEASE_INTERVAL_MS = 10
+
 /**
  * Refuses to send a request to a target if the VM may end before the response is due: the caller can send it to
  * another VM, and an unanswered request that is not idempotent could never be repeated.
@@ -40,11 +47,23 @@
 }
 
 /**
- * Time until idle connections are closed again, in ms; 0 when the shutdown is over.
+ * Whether the shutdown is about to cut connections off, so that requests whose targets are still at work are refused
+ * for the sake of the responses behind them.
+ *
+ * @example
+ * isReleasing({ requestedAt: 0, startedAt: 0, endsAt: 3000 }, 2900) // true: in the last 120 ms
+ */
+export function isReleasing ({ requestedAt, endsAt }: Shutdown, now: number): boolean {
+  return endsAt - now <= Math.min(MAX_RELEASE_MS, RELEASE_FRACTION * (endsAt - requestedAt))
+}
+
+/**
+ * Time until idle connections are closed and responses released again, in ms; 0 when the shutdown is over.
  *
  * @example
  * closeIntervalMs({ requestedAt: 0, startedAt: 0, endsAt: 3000 }, 2980) // 20
  */
-export function closeIntervalMs ({ endsAt }: Shutdown, now: number): number {
-  return Math.min(CLOSE_INTERVAL_MS, Math.max(0, endsAt - now))
+export function closeIntervalMs (shutdown: Shutdown, now: number): number {
+  const intervalMs = isReleasing(shutdown, now) ? RELEASE_INTERVAL_MS : CLOSE_INTERVAL_MS
+  return Math.min(intervalMs, Math.max(0, shutdown.endsAt - now))
 }
