Treat heads that cannot be a final response as a failure of the target

Checked because of a report from another system: a target in trouble answered with status 000. Here the caller did not get the status, but a 500 of the kind 'internal' that closed its connection; an idempotent request was not tried elsewhere, and the target did not count as failed. A status 101 that nobody asked for was relayed, after which the connection never got another response. A reason phrase with control characters ended as 'internal' too.

Cause: the status and the reason phrase went to the caller's response unchecked, where Node.js throws for a status below 100 and treats 101 as final.

Now the head is validated before a dialect interprets it, together with the transfer coding: such a response is a failed attempt that may have run. An idempotent request is tried at another target, any other gets 502 at once, and the caller's connection stays open.

--- a/src/entry/send.ts
+++ b/src/entry/send.ts
@@ -3,6 +3,7 @@
 import { Effect } from 'effect'
 import { createMessageLines, responseFramingOf } from './message-lines.js'
 import type { Connection } from './pool.js'
+import { describeInvalidHead } from './response-head.js'
 
 /** A request to a target. */
 export interface OutboundRequest {
@@ -54,12 +55,6 @@
   return outgoing
 }
 
-/** Whether the transfer coding can be relayed; only `chunked` can. */
-function isFramingValid (targetResponse: IncomingMessage): boolean {
-  const encoding = targetResponse.headers['transfer-encoding']
-  return encoding === undefined || encoding.trim().toLowerCase() === 'chunked'
-}
-
 /**
  * Sends a request. After an interruption, the state of the connection is undefined,
  * so the connection has to be discarded.
@@ -97,7 +92,8 @@
     const onResponse = (targetResponse: IncomingMessage): void => {
       // An error also ends the response early, and the relay detects that.
       targetResponse.on('error', () => {})
-      if (!isFramingValid(targetResponse)) return fail('failed', 'the response has an unsupported transfer coding')
+      const invalidity = describeInvalidHead(targetResponse)
+      if (invalidity !== undefined) return fail('failed', invalidity)
       cleanUp()
       received = targetResponse
       resume(Effect.succeed({ targetResponse, outgoing }))
