Follow a store that comes back from an older copy

Callers got requests served by targets that had left or drain, and by routes that the operator had moved, for as long as the process lasted after the store had lost its newest writes: the catalog takes only versions above the highest that it has seen, and a restored store gives out lower ones again. The list of VMs lacked the ones that had joined after the copy.

Now a store version is the era of the store and the row version in one number, so that every comparison and message of the fleet is right across eras; platform/ reads the header. A reader that sees a later era reads its section anew and passes it on. For 4 s, what the VM knows to be newer is kept: rulesets by their version, targets by start time and sequence, targets that the copy lacks, and the removal of targets lately. After that, one more complete read makes the store's content count. Each VM writes its row in the list again, spread over time.

--- a/src/catalog/model.ts
+++ b/src/catalog/model.ts
@@ -1,4 +1,5 @@
 /** Data model of the rules and targets, as decoded from the platform's store. */
+import type { StoreVersion } from './store-version.js'
 
 /** Limits on what a caller may send. */
 export interface CallerLimits {
@@ -67,6 +68,8 @@
   readonly warmupMs: number
   /** Start time of the target's process, in ms since the Unix epoch; 0 if unknown. Changes when the target restarts under the same id. */
   readonly startedAt: number
+  /** Number of the target's writes since its start, which shows the newer of two of its entries; undefined if unknown. */
+  readonly sequence?: number | undefined
 }
 
 /** A decoded row of the store. */
@@ -78,7 +81,7 @@
 
 /** An entry with the version of its row in the store. */
 export interface Change {
-  readonly version: number
+  readonly version: StoreVersion
   readonly entry: Entry
 }
 
@@ -92,7 +95,9 @@
   readonly section: Section
   readonly changes: readonly Change[]
   /** Store version after which the batch has every change; undefined if the batch is complete, so that entries that it lacks are removed. */
-  readonly after: number | undefined
+  readonly after: StoreVersion | undefined
   /** Store version up to which the batch has every change. */
-  readonly upTo: number
+  readonly upTo: StoreVersion
+  /** Whether a complete batch may differ from the store, because its sender still waits for what a restored store lacks. */
+  readonly isProvisional?: boolean | undefined
 }
--- a/src/edge/edge.ts
+++ b/src/edge/edge.ts
@@ -260,7 +260,7 @@
     yield * Effect.mapError(components.mesh.listen(), ({ detail }) => ({ endpoint: 'peers', detail }))
     yield * Effect.mapError(entry.listen(vm.callers), ({ message }) => ({ endpoint: 'callers', detail: message }))
     const tasks = [
-      ['joining', join({ self: vm, seeds: () => settings.seeds, store, roster, mesh, log })],
+      ['joining', join({ self: vm, seeds: () => settings.seeds, store, era: catalog.era, roster, mesh, random, log })],
       ['following', catalogSync.run],
       ['placing', loadBalancer.maintain],
       ['housekeeping', housekeeping]
--- a/src/edge/instruments.ts
+++ b/src/edge/instruments.ts
@@ -42,6 +42,7 @@
       const { requestsInFlight, callerConnections, targetConnections, unsentBytes } = entry.state()
       const values: Readonly<Record<string, number>> = {
         ruleset_version: catalog.ruleset()?.version ?? 0,
+        store_era: catalog.era(),
         confirmed_age_seconds: catalogSync.confirmedAgeMs(now) / 1000,
         linked_vms: roster.linked().length,
         serving: roster.isServing(now) ? 1 : 0,
--- a/src/edge/joining.ts
+++ b/src/edge/joining.ts
@@ -17,6 +17,10 @@
 const REFRESHING_VMS = 2
 /** Number of intervals after which every VM reads the list again, in case it was not told. */
 const FULL_REFRESH_INTERVALS = 6
+/** Interval at which a VM checks whether the store was restored after it registered, in ms. */
+const ERA_CHECK_INTERVAL_MS = 250
+/** Registrations of the whole fleet after a restore, per second: a fraction of what one part of a table takes. */
+const REREGISTRATIONS_PER_SECOND = 60
 const SEED_TIMEOUT_MS = 800
 /** Time without an answer of the store after which the seeds are asked, in ms; the store may still be busy with the registrations of other VMs. */
 const SEED_DELAY_MS = 700
@@ -60,13 +64,16 @@
   readonly self: VM
   readonly seeds: () => readonly Endpoint[]
   readonly store: Store
+  /** The newest era of the store that this VM knows. */
+  readonly era: () => number
   readonly roster: Roster
   readonly mesh: Mesh
+  readonly random: () => number
   readonly log: Log
 }
 
-/** Registers this VM in the store and keeps the roster up to date with the other VMs; runs until interrupted. */
-export function join ({ self, seeds, store, roster, mesh, log }: JoiningOptions): Effect.Effect<never> {
+/** Registers this VM in the store, again after each restore of the store, and keeps the roster up to date with the other VMs; runs until interrupted. */
+export function join ({ self, seeds, store, era, roster, mesh, random, log }: JoiningOptions): Effect.Effect<never> {
   mesh.subscribe(listedVMsChannel, (_from, packed) => { roster.add(packed.map(unpackListedVM)) })
 
   const tellZone = (vms: readonly VM[]): void => {
@@ -85,9 +92,13 @@
 
   const askSeedsMeanwhile = Effect.sleep(SEED_DELAY_MS).pipe(Effect.andThen(discoverFromSeeds), Effect.andThen(Effect.never))
 
+  /** The era in which the entry of this VM was written. */
+  let registeredIn = 0
+  const register = store.register(self).pipe(Effect.tap(writtenIn => Effect.sync(() => { registeredIn = writtenIn })))
+
   const registerWithRetry = Effect.gen(function * () {
     for (let backoffMs = INITIAL_BACKOFF_MS; ; backoffMs = Math.min(MAX_BACKOFF_MS, 2 * backoffMs)) {
-      const result = yield * Effect.result(Effect.raceFirst(store.register(self).pipe(Effect.andThen(store.listVMs())), askSeedsMeanwhile))
+      const result = yield * Effect.result(Effect.raceFirst(register.pipe(Effect.andThen(store.listVMs())), askSeedsMeanwhile))
       if (result._tag === 'Success') {
         roster.add(result.success)
         return
@@ -109,5 +120,18 @@
     return isDue ? readAgain : Effect.void
   })))
 
-  return registerWithRetry.pipe(Effect.andThen(Effect.forever(refresh)))
+  /** Spreads the registrations of all VMs, which learn of a restore at about the same time. */
+  const spreadMs = (): number => random() * 1000 * (roster.known().length + 1) / REREGISTRATIONS_PER_SECOND
+
+  const registerAgain = Effect.suspend(() => Effect.sleep(spreadMs()).pipe(
+    Effect.andThen(register),
+    Effect.match({
+      onSuccess: () => log.info('vm.registered-again', { era: registeredIn }),
+      onFailure: ({ detail }) => log.warn('vm.registration-failed', { detail })
+    })))
+
+  const followEra = Effect.forever(Effect.sleep(ERA_CHECK_INTERVAL_MS).pipe(
+    Effect.andThen(Effect.suspend(() => era() > registeredIn ? registerAgain : Effect.void))))
+
+  return registerWithRetry.pipe(Effect.andThen(Effect.all([Effect.forever(refresh), followEra], { concurrency: 'unbounded' })), Effect.andThen(Effect.never))
 }
--- a/src/following/catalog-sync.ts
+++ b/src/following/catalog-sync.ts
@@ -27,6 +27,10 @@
 const ANNOUNCEMENT_DELAY_MS = 10
 /** Shortest time between two snapshot requests for a section, in ms. */
 const SNAPSHOT_REQUEST_INTERVAL_MS = 150
+/** After a restore of the store: time from when a complete batch is due until a reader reads it, which the other VMs of the zone then get, in ms. */
+const RECONCILIATION_READ_DELAY_MS = 500
+/** The same until another VM that did not get it requests it from a peer, and the interval of its requests, in ms. */
+const RECONCILIATION_REQUEST_DELAY_MS = 2000
 const BACKOFF_MIN_MS = 150
 const BACKOFF_MAX_MS = 2000
 
@@ -170,7 +174,8 @@
 
   const readOnce = (state: SectionState): Effect.Effect<void> => {
     const { section } = state
-    const read = state.needsSnapshot ? store.read(section) : store.changes(section, catalog.upTo(section), state.isImmediate ? 0 : longPollMs(clock()))
+    const isComplete = state.needsSnapshot || catalog.needsReconciliation(section, clock() - RECONCILIATION_READ_DELAY_MS)
+    const read = isComplete ? store.read(section) : store.changes(section, catalog.upTo(section), state.isImmediate ? 0 : longPollMs(clock()))
     return read.pipe(
       Effect.tap(batch => Effect.sync(() => applyBatch(state, batch))),
       Effect.flatMap(batch => batch.changes.length > 0 && batch.after !== undefined ? Effect.sleep(COALESCING_MS[section]) : Effect.void),
@@ -238,8 +243,12 @@
       for (const section of SECTIONS) {
         const upTo = section === 'rulesets' ? status.rulesetsUpTo : status.listingsUpTo
         const isBehind = catalog.upTo(section) < upTo
+        const mayRequest = now - states[section].lastRequestAt >= RECONCILIATION_REQUEST_DELAY_MS
+        // Only a reader surely knows what was written again.
+        const isReaderStatus = (status.storeAgeMs ?? Infinity) < TAKEOVER_MS
+        const isIncomplete = mayRequest && isReaderStatus && catalog.upTo(section) === upTo && catalog.needsReconciliation(section, now - RECONCILIATION_REQUEST_DELAY_MS)
         // Snapshots come from VMs of the zone. Other zones are asked only while no VM of the zone confirms the section.
-        if (isBehind && (isInZone(from.vm) || now - confirmedAt[section] > TAKEOVER_MS)) requestSnapshot(from.vm, section, now)
+        if ((isBehind || isIncomplete) && (isInZone(from.vm) || now - confirmedAt[section] > TAKEOVER_MS)) requestSnapshot(from.vm, section, now)
         if (!isBehind && status.storeAgeMs !== undefined) markConfirmed(section, now - status.storeAgeMs)
       }
     },
--- a/src/following/messages.ts
+++ b/src/following/messages.ts
@@ -16,7 +16,8 @@
   slots: Schema.Int,
   draining: Schema.Boolean,
   warmupMs: Schema.Number,
-  startedAt: Schema.Number
+  startedAt: Schema.Number,
+  sequence: Schema.optional(Schema.Number)
 })
 
 const Rule = Schema.Struct({
@@ -50,7 +51,8 @@
   section: SectionName,
   changes: Schema.Array(Schema.Struct({ version: Schema.Int, entry: Entry })),
   after: Schema.optional(Schema.Int),
-  upTo: Schema.Int
+  upTo: Schema.Int,
+  isProvisional: Schema.optional(Schema.Boolean)
 })
 
 const Count = Schema.Int.check(Schema.isBetween({ minimum: 0, maximum: MAX_PARTS }))
--- a/src/following/outgoing-transfers.ts
+++ b/src/following/outgoing-transfers.ts
@@ -23,7 +23,7 @@
 
 /** Whether two batches have the same changes. The catalog replaces a change and never modifies it. */
 function isSame (a: Batch, b: Batch): boolean {
-  return a.section === b.section && a.after === b.after && a.upTo === b.upTo &&
+  return a.section === b.section && a.after === b.after && a.upTo === b.upTo && a.isProvisional === b.isProvisional &&
     a.changes.length === b.changes.length && a.changes.every((change, index) => change === b.changes[index])
 }
 
--- a/src/platform/exchange.ts
+++ b/src/platform/exchange.ts
@@ -1,5 +1,5 @@
 /** One HTTP exchange with the platform. */
-import { request as httpRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
+import { request as httpRequest, type Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
 import { Effect } from 'effect'
 
 /** Maximum size of a response. A batch of 50 notes of the maximum size fits. */
@@ -22,6 +22,7 @@
 /** A complete response of the platform. */
 export interface ExchangeResponse {
   readonly status: number
+  readonly headers: IncomingHttpHeaders
   readonly body: Buffer
 }
 
@@ -85,7 +86,7 @@
     request.on('response', response => {
       response.on('error', error => fail(error.message))
       readBody(response, bytes => {
-        if (bytes !== undefined) return resume(Effect.succeed({ status: response.statusCode ?? 0, body: bytes }))
+        if (bytes !== undefined) return resume(Effect.succeed({ status: response.statusCode ?? 0, headers: response.headers, body: bytes }))
         fail('the response exceeds the size limit')
         request.destroy()
       })
