Send no request to a target that drains or left while it waited for a connection

Now it also needs the process of the slot to be listed and not to drain; such a request goes to another target, as not run.

--- a/src/placing/load-balancer.ts
+++ b/src/placing/load-balancer.ts
@@ -181,6 +181,12 @@
     })
   }
 
+  /** Whether the process that was selected is still listed and does not drain. */
+  const isListed = ({ id, address, port, startedAt }: Listing): boolean => {
+    const current = catalog.find(id)
+    return current !== undefined && !current.draining && current.address === address && current.port === port && current.startedAt === startedAt
+  }
+
   const grant = (request: PlacementRequest, { candidate, isProbe }: Selection, now: number): Slot => {
     const { listing } = candidate
     const entry: RunningRequest = { listing, className: request.class, grantedAt: now }
@@ -192,7 +198,7 @@
     return {
       target: targetOf(listing, connections),
       announce: (announcement, at) => targets.recordAnnouncement(listing, announcement, request.requestId, at),
-      isUsable: at => targets.announcements.stateOf(listing, at) === undefined,
+      isUsable: at => isListed(listing) && targets.announcements.stateOf(listing, at) === undefined,
       release: (observation, endedAt) => {
         if (isReleased) return
         isReleased = true
