--- a/review/support-3/upstream.mjs
+++ b/review/support-3/upstream.mjs
@@ -86,7 +86,7 @@
   let state = 'ready'
   const upstream = { id, service, ip, zone, port, sockets, isUp: false, running: new Set() }
 
-  const write = () => store.put('servers', id, {
+  const write = () => store.put('servers', upstream.id, {
     service, address: `${ip}:${upstream.port}`, zone, 'config-version': 'v1', 'max-concurrency': slots, state, 'warmup-left-s': 0, sequence: ++sequence, born
   })
 
@@ -110,7 +110,9 @@
   })
 
   return Object.assign(upstream, {
-    start: async () => {
+    /** Starts the upstream, as another one if another id is given. */
+    start: async (newId = upstream.id) => {
+      upstream.id = newId
       born = Date.now()
       sequence = 0
       state = 'ready'
