--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -5,7 +5,7 @@
 import { writeFileSync } from 'node:fs'
 import { createMachines } from '../support-3/machines.mjs'
 import { createStore } from '../support-3/store.mjs'
-import { createUpstream, headOf } from '../support-3/upstream.mjs'
+import { answerCheck, createUpstream, headOf } from '../support-3/upstream.mjs'
 import { openConnection } from '../support-3/client.mjs'
 
 const IS_TROUBLE = process.env.TROUBLE !== '0'
@@ -52,11 +52,8 @@
 const lostOthers = []
 
 function behave ({ request, socket, upstream }) {
+  if (answerCheck({ request, socket, upstream })) return
   const attemptId = request.headers['attempt-id']
-  if (request.method === 'GET' && attemptId === undefined) {
-    socket.write(headOf(200, { 'Content-Length': 2 }) + 'ok')
-    return
-  }
   const answer = () => {
     upstream.running.delete(attemptId)
     const body = `done ${attemptId}`
--- a/review/support-3/upstream.mjs
+++ b/review/support-3/upstream.mjs
@@ -73,6 +73,18 @@
   return `HTTP/1.1 ${status} X\r\n${Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n`
 }
 
+/** Answers health checks and requests for another instance; returns false for all others. */
+export function answerCheck ({ request, socket, upstream }) {
+  const expected = request.headers['expect-instance']
+  if (expected !== undefined && expected !== upstream.id) {
+    socket.write(headOf(421, { 'Content-Length': 0, 'Attempt-Id': request.headers['attempt-id'] ?? '' }))
+    return true
+  }
+  if (request.method !== 'GET' || request.headers['attempt-id'] !== undefined) return false
+  socket.write(headOf(200, { 'Content-Length': 2, 'Instance-Id': upstream.id }) + 'ok')
+  return true
+}
+
 /**
  * Creates an upstream. `behave({ request, socket, upstream })` decides about each request that has arrived whole;
  * `onHead` is called when its head has arrived.
@@ -84,7 +96,7 @@
   let sequence = 0
   let born = Date.now()
   let state = 'ready'
-  const upstream = { id, service, ip, zone, port, sockets, isUp: false, running: new Set() }
+  const upstream = { id, service, ip, zone, port, sockets, isUp: false, isSilent: false, running: new Set() }
 
   const write = () => store.put('servers', upstream.id, {
     service, address: `${ip}:${upstream.port}`, zone, 'config-version': 'v1', 'max-concurrency': slots, state, 'warmup-left-s': 0, sequence: ++sequence, born
@@ -113,6 +125,7 @@
     /** Starts the upstream, as another one if another id is given. */
     start: async (newId = upstream.id) => {
       upstream.id = newId
+      upstream.isSilent = false
       born = Date.now()
       sequence = 0
       state = 'ready'
@@ -125,6 +138,11 @@
       state = 'draining'
       write()
     },
+    /** Crashes without a sign: until `crash` and `start`, `behave` sees `isSilent`, and nothing is written. */
+    fallSilent: () => {
+      clearInterval(heartbeat)
+      upstream.isSilent = true
+    },
     /** Ends at once, as when the process crashes: its connections are reset and it writes nothing more. */
     crash: () => {
       clearInterval(heartbeat)
