--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,6 +1,6 @@
 /**
- * A request crashes each upstream that runs it, a moment after the upstream has begun to send its answer, and its caller
- * sends it again. With TROUBLE=0 the same request is answered as any other.
+ * A request crashes each upstream that runs it, which falls silent, and its caller sends it again. With TROUBLE=0 the
+ * same request is answered as any other.
  */
 import { writeFileSync } from 'node:fs'
 import { createMachines } from '../support-3/machines.mjs'
@@ -12,13 +12,12 @@
 const STABLE_S = 3
 /** The rule allows three retries later than `stable-s` after the third crash. */
 const ALLOWED_RETRIES = 3
-const STORE_ADDRESS = '127.65.0.1'
-const POISON_CALLER = '127.68.0.9'
+const STORE_ADDRESS = '127.75.0.1'
+const POISON_CALLER = '127.78.0.9'
 const SERVICE = 'svc-a'
 const UPSTREAMS = 6
-/** Part of the answer that an upstream sends before it crashes. */
-const SENT_BYTES = 100
-const ANSWER_BYTES = 2000
+/** How long the request runs before the upstream crashes; other requests take 150 ms. */
+const RUN_MS = 200
 const POISON_PERIOD_MS = 4000
 const POISON_COUNT = 14
 const UPSTREAM_DOWN_MS = 3000
@@ -52,33 +51,33 @@
 const lostOthers = []
 
 function behave ({ request, socket, upstream }) {
+  if (upstream.isSilent) return
   if (answerCheck({ request, socket, upstream })) return
   const attemptId = request.headers['attempt-id']
   const answer = () => {
     upstream.running.delete(attemptId)
+    if (socket.destroyed || upstream.isSilent) return
     const body = `done ${attemptId}`
-    if (!socket.destroyed) socket.write(headOf(200, { 'Content-Length': body.length, 'Attempt-Id': attemptId, 'Upstream-Seal': `seal-${attemptId}` }) + body)
+    socket.write(headOf(200, { 'Content-Length': body.length, 'Attempt-Id': attemptId, 'Upstream-Seal': `seal-${attemptId}` }) + body)
   }
   if (request.path === '/plain/poison') {
     arrivals.push({ at: performance.now(), upstream: upstream.id, attemptId })
     write(`${seconds()} ${upstream.id} runs the request ${attemptId}`)
     if (IS_TROUBLE) {
-      setTimeout(() => {
-        if (!upstream.isUp) return
-        const head = headOf(200, { 'Content-Length': ANSWER_BYTES, 'Attempt-Id': attemptId, 'Upstream-Seal': `seal-${attemptId}` })
-        if (!socket.destroyed) socket.write(head + 'x'.repeat(SENT_BYTES))
-      }, 20)
       setTimeout(() => {
         if (!upstream.isUp) return
         lostOthers.push(...upstream.running)
         write(`${seconds()} ${upstream.id} crashes; it ran ${upstream.running.size} other requests`)
         upstream.running.clear()
         crashes.push({ at: performance.now(), upstream: upstream.id })
-        upstream.crash()
+        upstream.fallSilent()
         const oldId = upstream.id
-        setTimeout(() => { upstream.start(`up-${nextUpstream++}`) }, UPSTREAM_DOWN_MS)
+        setTimeout(() => {
+          upstream.crash()
+          upstream.start(`up-${nextUpstream++}`)
+        }, UPSTREAM_DOWN_MS)
         setTimeout(() => { store.remove('servers', oldId) }, SILENCE_MS)
-      }, 40)
+      }, RUN_MS)
       return
     }
   }
@@ -91,13 +90,13 @@
 store.put('op', 'config', configuration())
 const upstreams = []
 for (let index = 0; index < UPSTREAMS; index++) {
-  const upstream = createUpstream({ id: `up-${index}`, service: SERVICE, ip: `127.67.0.${index + 1}`, zone: index % 2 === 0 ? 'z1' : 'z2', slots: 8, store, behave })
+  const upstream = createUpstream({ id: `up-${index}`, service: SERVICE, ip: `127.77.0.${index + 1}`, zone: index % 2 === 0 ? 'z1' : 'z2', slots: 8, store, behave })
   await upstream.start()
   upstreams.push(upstream)
 }
 const fleet = await createMachines([
-  { name: 'm1', zone: 'z1', ip: '127.66.1.1' }, { name: 'm2', zone: 'z1', ip: '127.66.1.2' },
-  { name: 'm3', zone: 'z2', ip: '127.66.2.1' }, { name: 'm4', zone: 'z2', ip: '127.66.2.2' }
+  { name: 'm1', zone: 'z1', ip: '127.76.1.1' }, { name: 'm2', zone: 'z1', ip: '127.76.1.2' },
+  { name: 'm3', zone: 'z2', ip: '127.76.2.1' }, { name: 'm4', zone: 'z2', ip: '127.76.2.2' }
 ].map(machine => ({ ...machine, store: `${STORE_ADDRESS}:${storePort}` })))
 
 /** Sends one request on a connection of its own and resolves with the status, or 0 if the connection ended without an answer. */
@@ -130,7 +129,7 @@
     const machine = fleet.machines[number % fleet.machines.length]
     const id = `load-${number}`
     counts.sent++
-    send(machine, '/plain/item', id, `127.68.1.${1 + number % 50}`, `load ${number}`).then(status => {
+    send(machine, '/plain/item', id, `127.78.1.${1 + number % 50}`, `load ${number}`).then(status => {
       answered.set(id, status)
       if (status === 200) counts.served++
       else counts.failed++
