--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -15,7 +15,8 @@
 const STORE_ADDRESS = '127.75.0.1'
 const POISON_CALLER = '127.78.0.9'
 const SERVICE = 'svc-a'
-const UPSTREAMS = 6
+/** One of eight is down at a time; the site's dose of `srv_crash` is a share of 0.14. */
+const UPSTREAMS = 8
 /** How long the request runs before the upstream crashes; other requests take 150 ms. */
 const RUN_MS = 200
 const POISON_PERIOD_MS = 4000
